Split the group dispatcher and move planning out of the application

Cause: one module held grants, queues and sending, which several people will change at once. Change: dispatch/grants.py keeps grants, planning.py writes rows; no change of behaviour.

--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import subprocess
 import sys
 import tempfile
@@ -14,6 +15,8 @@
 
 TOKEN = "scenario-token-0000"
 START_SECONDS = 15.0
+# Second number of the loopback addresses; parallel checkouts on one machine set their own.
+TEST_NET = int(os.environ.get("RADISHSHUNT_TEST_NET", "60"))
 
 
 class System:
@@ -22,7 +25,7 @@
     :param net: Second number of the loopback addresses.
     """
 
-    def __init__(self, context, net: int = 60) -> None:
+    def __init__(self, context, net: int = TEST_NET) -> None:
         self.net = net
         self.directory = Path(context.stack.enter_context(tempfile.TemporaryDirectory()))
         self.context = context
--- a/radishshunt/app.py
+++ b/radishshunt/app.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 import trio
@@ -14,17 +13,13 @@
 from radishshunt.clock import Clock, SystemClock
 from radishshunt.directory import Directory
 from radishshunt.dispatch.manager import DispatchManager
-from radishshunt.errors import RadishshuntError
 from radishshunt.frontend import Frontend
-from radishshunt.logs import decision
 from radishshunt.membership import Membership
 from radishshunt.metrics import Metrics
-from radishshunt.model import GroupRow, HostInfo, HostRef, new_incarnation
+from radishshunt.model import HostInfo, HostRef, new_incarnation
 from radishshunt.peers import PeerNetwork
-from radishshunt.planner import View, plan, plan_row
-from radishshunt.platform import Transaction
+from radishshunt.planning import Planning
 from radishshunt.platform.http import connect
-from radishshunt.platform.transactions import commit
 from radishshunt.router import Router
 from radishshunt.supervisor import Supervisor
 from radishshunt.sync import Sync
@@ -39,9 +34,6 @@
 
 logger = logging.getLogger(__name__)
 
-PLAN_INTERVAL_SECONDS = 0.3
-# A started host waits this long for heartbeats before it plans, so that it sees the others.
-PLAN_DELAY_SECONDS = 1.5
 STOP_POLL_SECONDS = 0.05
 
 
@@ -69,6 +61,14 @@
         )
         self.membership = Membership(self.network, self.clock, self.describe, self._on_heartbeat)
         self.sync = Sync(self.directory, self.network, self.platform, self.clock, self._on_catalog)
+        self.planning = Planning(
+            self.me.host,
+            self.directory,
+            self.dispatch,
+            self.membership,
+            self.sync,
+            self.platform.table,
+        )
         self.router = Router(
             self.me.host, self.directory, self.dispatch, self.network, self.clock, self.metrics
         )
@@ -178,7 +178,7 @@
                 "fetches": self.sync.run_fetches,
                 "platform": self.sync.run_platform,
                 "dispatch": self.dispatch.run,
-                "planner": self._run_planner,
+                "planner": self.planning.run,
                 "callers": self._serve_callers,
                 "admin": self._serve_admin,
             }
@@ -203,52 +203,6 @@
     def _on_catalog(self, catalog: Catalog) -> None:
         self.metrics.catalog_version.set(catalog.version)
 
-    async def _run_planner(self) -> None:
-        await trio.sleep(PLAN_DELAY_SECONDS)
-        while True:
-            try:
-                for row in self._planned_rows():
-                    await self._write_row(row)
-            except RadishshuntError as exc:
-                logger.info("planning waits: %s", exc)
-            await trio.sleep(PLAN_INTERVAL_SECONDS)
-
-    def _planned_rows(self) -> list[GroupRow]:
-        """Return the rows that this host should write now."""
-        hosts = [info for info in self.membership.live_hosts() if not info.leaving]
-        view = View(self.directory.catalog, hosts, self.directory.rows)
-        if hosts and hosts[0].host == self.me.host:
-            rows = plan(view)
-            if rows:
-                return rows
-        changed = []
-        for group, dispatcher in self.dispatch.groups.items():
-            lost = frozenset(dispatcher.lost_targets())
-            if lost and group in self.directory.rows:
-                row = self.directory.rows[group]
-                own = replace(view, lost=lost, unsettled={group: dispatcher.unsettled()})
-                following = plan_row(own, row, row.targets)
-                if following is not row:
-                    changed.append(following)
-        return changed
-
-    async def _write_row(self, row: GroupRow) -> None:
-        key = row.group.row_key
-        tx = Transaction(checks={key: row.version}, writes={key: row.to_json()})
-        result = await commit(self.platform.table, tx)
-        decision(
-            "row",
-            service=row.group.service,
-            group=row.group.group,
-            generation=row.generation,
-            dispatcher=row.dispatcher.host,
-            reason=result.status.value,
-        )
-        if key in result.versions:
-            await self.sync.announce_row(replace(row, version=result.versions[key]))
-        else:
-            await self.sync.read_platform()
-
 
 async def _serve(app: QuartTrio, address: str, tls: TlsSection | None) -> None:
     config = Config()
--- a/radishshunt/dispatch/group.py
+++ b/radishshunt/dispatch/group.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-import logging
 from typing import TYPE_CHECKING
 
 import trio
 
+from radishshunt.dispatch.grants import GrantKeeper
 from radishshunt.dispatch.lane import Lane
 from radishshunt.errors import NotOwner, NotRun
 from radishshunt.hashing import key_hash
 from radishshunt.logs import decision
 from radishshunt.model import Response, read_body
-from radishshunt.ownership import Fence, Grant, GroupOwnership, Serving
-from radishshunt.targets import GrantRejected, TargetClient, TargetUnreachable
+from radishshunt.targets import TargetClient
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -21,11 +20,11 @@
     from radishshunt.clock import Clock
     from radishshunt.directory import Directory
     from radishshunt.model import GroupRow, Request
+    from radishshunt.ownership import Serving
     from radishshunt.settings import LimitsSection
 
-logger = logging.getLogger(__name__)
-
-TICK_SECONDS = 0.05
+# Pause before a request that did not run is tried again.
+RETRY_PAUSE_SECONDS = 0.05
 # Time kept back for the answer's way, so that no request is sent too late to matter.
 SEND_MARGIN_SECONDS = 0.002
 
@@ -47,20 +46,27 @@
     ) -> None:
         self.row = row
         self.group = row.group
-        self.deposed = False
         self._directory = directory
         self._limits = limits
         self._clock = clock
         self._clients: dict[str, TargetClient] = {}
         self._lanes: dict[str, Lane] = {}
         self._changed = trio.Event()
-        self._ownership = self._start(row, generation)
+        self._add_targets(row)
+        self._grants = GrantKeeper(
+            row, generation, self._grant_seconds(), self._clients, clock, self._notify
+        )
         self._scope = trio.CancelScope()
 
     @property
     def generation(self) -> int:
         """Generation that this host uses for the group."""
-        return self._ownership.generation
+        return self._grants.generation
+
+    @property
+    def deposed(self) -> bool:
+        """Whether another host has taken the group over."""
+        return self._grants.deposed
 
     @property
     def load(self) -> float:
@@ -68,39 +74,30 @@
         lanes = [self._lanes[name] for name in self.row.targets if name in self._lanes]
         return sum(lane.load for lane in lanes) / len(lanes) if lanes else 0.0
 
-    @property
-    def queued(self) -> int:
-        """Requests that wait for a slot."""
-        return sum(lane.queued for lane in self._lanes.values())
-
     def lost_targets(self) -> set[str]:
         """Return the targets that count as lost."""
-        return self._ownership.lost_targets()
+        return self._grants.lost_targets()
 
     def unsettled(self) -> dict[str, tuple[int, ...]]:
         """Return the targets that a following generation has to fence, with their slices."""
-        return self._ownership.unsettled()
+        return self._grants.unsettled()
 
     def update_row(self, row: GroupRow, generation: int) -> None:
         """Go on under a new row."""
         self.row = row
-        self.deposed = False
-        self._ownership = self._start(row, generation)
-        self._notify()
+        self._add_targets(row)
+        self._grants.update_row(row, generation, self._grant_seconds())
 
     def stop(self) -> None:
         """Stop renewing grants; :meth:`run` then ends."""
+        self._grants.deposed = True
         self._scope.cancel()
+        self._notify()
 
     async def run(self) -> None:
-        """Send the commands that are due until stopped."""
+        """Keep the group's grants until stopped."""
         with self._scope:
-            async with trio.open_nursery() as nursery:
-                while True:
-                    ownership = self._ownership
-                    for command in ownership.commands(self._clock.now()):
-                        nursery.start_soon(self._execute, ownership, command)
-                    await trio.sleep(TICK_SECONDS)
+            await self._grants.run()
 
     async def handle(self, req: Request, slice_number: int | None) -> Response:
         """Serve a request.
@@ -126,7 +123,7 @@
             except NotRun as exc:
                 if exc.reason not in ("wrong-epoch", "no-grant", "connect-failed"):
                     raise
-                await trio.sleep(TICK_SECONDS)
+                await trio.sleep(RETRY_PAUSE_SECONDS)
             finally:
                 if not released:
                     lane.release()
@@ -149,7 +146,7 @@
             request_id=req.id,
             reason="owner" if slice_number is not None else "least-loaded",
         )
-        return await self._client(serving.target).send(
+        return await self._clients[serving.target].send(
             req,
             body,
             now=now,
@@ -168,14 +165,13 @@
                 raise NotOwner("not-dispatcher", "another host dispatches the group")
             if self._clock.now() >= deadline:
                 raise NotRun("no-owner", "no target holds a valid grant", retry_after=1.0)
-            with trio.move_on_after(TICK_SECONDS):
+            with trio.move_on_after(RETRY_PAUSE_SECONDS):
                 await self._changed.wait()
 
     def _serving(self, slice_number: int | None, target: str | None = None) -> Serving | None:
-        now = self._clock.now()
         catalog = self._directory.catalog
         if slice_number is not None:
-            serving = self._ownership.serving(slice_number, now)
+            serving = self._grants.serving(slice_number)
             if serving is None or (target and serving.target != target):
                 return None
             return serving if catalog.takes_work(serving.target) else None
@@ -183,45 +179,20 @@
         found = [
             serving
             for name in names
-            if catalog.takes_work(name) and (serving := self._ownership.serving_any(name, now))
+            if catalog.takes_work(name) and (serving := self._grants.serving_any(name))
         ]
         return min(found, key=lambda s: self._lanes[s.target].load, default=None)
 
-    async def _execute(self, ownership: GroupOwnership, command: Fence | Grant) -> None:
-        client = self._client(command.target)
-        service, group = self.group.service, self.group.group
-        try:
-            if isinstance(command, Fence):
-                answer = await client.fence(service, group, command)
-                ownership.on_fenced(
-                    command.target, answer.incarnation, answer.held_standby, self._clock.now()
-                )
-            else:
-                await client.grant(service, group, command)
-                ownership.on_granted(command, self._clock.now())
-                self._notify()
-        except TargetUnreachable as exc:
-            logger.debug("%s", exc)
-            ownership.on_failure(command.target, self._clock.now())
-        except GrantRejected as exc:
-            if exc.reason == "incarnation":
-                ownership.on_restarted(command.target)
-            elif ownership is self._ownership:
-                self.deposed = True
-
-    def _start(self, row: GroupRow, generation: int) -> GroupOwnership:
-        catalog = self._directory.catalog
-        spec = catalog.services[row.group.service]
+    def _add_targets(self, row: GroupRow) -> None:
         for name in (*row.targets, *row.unfenced):
-            target = catalog.targets.get(name)
+            target = self._directory.catalog.targets.get(name)
             if target is not None and name not in self._lanes:
                 limit = self._limits.queue_per_target
                 self._lanes[name] = Lane(target.slots, limit, self._clock)
                 self._clients[name] = TargetClient(target)
-        return GroupOwnership(row, generation, spec.grant_seconds)
 
-    def _client(self, target: str) -> TargetClient:
-        return self._clients[target]
+    def _grant_seconds(self) -> float:
+        return self._directory.catalog.services[self.group.service].grant_seconds
 
     def _notify(self) -> None:
         self._changed.set()
--- a/radishshunt/dispatch/manager.py
+++ b/radishshunt/dispatch/manager.py
@@ -68,7 +68,6 @@
 
     def _stop(self, group: GroupId, reason: str) -> None:
         dispatcher = self.groups.pop(group)
-        dispatcher.deposed = True
         dispatcher.stop()
         self._log(dispatcher, reason)
 
