Share the process harness of scenarios, and run the request path behind the relay

Cause: several features need to start, kill, pause and cut parts in the same way. Change: tests/support/system.py starts deployments and injects faults; features use it.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -6,3 +6,10 @@
     When each host gets 20 requests for 10 keys
     Then every request is answered by a target
     And each key was served by one target only
+
+  Scenario: The path also holds when every link goes through a relay
+    Given a platform, 4 targets of "permits" and 3 hosts behind a relay
+    And a release note that adds them
+    When each host gets 10 requests for 10 keys
+    Then every request is answered by a target
+    And each key was served by one target only
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""What tests and scenarios share."""
--- /dev/null
+++ b/tests/support/system.py
@@ -0,0 +1,294 @@
+"""A system of separate processes whose parts can be lost, paused and cut off."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+import httpx
+import yaml
+
+from radishshunt.model import ip_of
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+TOKEN = "scenario-token-0000"
+START_SECONDS = 20.0
+POLL_SECONDS = 0.05
+# Second number of the loopback addresses; parallel checkouts on one machine set their own.
+TEST_NET = int(os.environ.get("RADISHSHUNT_TEST_NET", "60"))
+RELAYED_PORT_OFFSET = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """What a system consists of.
+
+    :param relayed: Whether all links go through a relay, so that they can be cut.
+    """
+
+    domains: tuple[str, ...] = ("akl-a", "akl-b", "akl-c", "akl-d")
+    hosts: int = 2
+    workers: dict[str, int] = field(default_factory=lambda: {"permits": 4})
+    keyed: tuple[str, ...] = ("permits",)
+    relayed: bool = False
+    net: int = TEST_NET
+    target_options: tuple[str, ...] = ()
+    service_options: dict[str, Any] = field(default_factory=dict)
+
+
+class System:
+    """Processes of one scenario; closing it kills them all.
+
+    :ivar targets: Real address of each target.
+    :ivar hosts: Settings of each host.
+    """
+
+    def __init__(self, deployment: Deployment) -> None:
+        self.deployment = deployment
+        self.targets: dict[str, str] = {}
+        self.hosts: dict[str, dict] = {}
+        self.processes: dict[str, subprocess.Popen] = {}
+        self._arguments: dict[str, tuple[str, ...]] = {}
+        self._stack = ExitStack()
+        self.directory = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
+        self.client = self._stack.enter_context(httpx.Client(trust_env=False, timeout=15.0))
+        self.version = 0
+
+    def close(self) -> None:
+        """Kill all processes and remove their logs."""
+        for name in list(self.processes):
+            self.kill(name)
+        self._stack.close()
+
+    def start_all(self) -> None:
+        """Start the platform, the targets, the relay and the hosts."""
+        net = self.deployment.net
+        self._place_targets()
+        entries = [self._write_settings(index) for index in range(self.deployment.hosts)]
+        if self.deployment.relayed:
+            self._start_relay()
+        self.start("platform", "emulate", "platform", f"127.{net}.0.1:7000")
+        for name, address in self.targets.items():
+            options = self.deployment.target_options
+            self.start(name, "emulate", "target", name, address, *options)
+        self.wait_for(f"http://127.{net}.0.1:7000/emulator/counts")
+        self.client.put(self.platform_url("/emulator/hosts"), json={"hosts": entries})
+        for name in self.hosts:
+            self.start(name, "serve", str(self.directory / f"{name}.yaml"))
+        for name in self.hosts:
+            self.wait_for(self.admin_url(name, "/healthz"))
+
+    def start(self, name: str, *args: str) -> None:
+        """Start a part."""
+        self._arguments[name] = args
+        with (self.directory / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "radishshunt", *args], stdout=log, stderr=log
+            )
+
+    def restart(self, name: str) -> None:
+        """Start a part again that was killed, as a new process."""
+        self.start(name, *self._arguments[name])
+
+    def kill(self, name: str) -> None:
+        """End a part at once; it may be paused."""
+        process = self.processes.pop(name, None)
+        if process is not None:
+            process.kill()
+            process.wait()
+
+    def terminate(self, name: str) -> int:
+        """Stop a part gracefully and return its exit status."""
+        process = self.processes.pop(name)
+        process.terminate()
+        return process.wait(timeout=60)
+
+    def pause(self, name: str) -> None:
+        """Pause a part."""
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def resume(self, name: str) -> None:
+        """Let a paused part go on."""
+        if name in self.processes:
+            self.processes[name].send_signal(signal.SIGCONT)
+
+    def set_link(self, source: str, destination: str, state: str) -> None:
+        """Set the state of the link from a host to another part.
+
+        :param source: Name of a host, or ``*``.
+        :param state: One of the relay's link states, for example ``cut``.
+        """
+        ip = "*" if source == "*" else ip_of(self.hosts[source]["peers"]["address"])
+        self.client.put(
+            f"http://127.{self.deployment.net}.0.2:7001/links",
+            json={"source": ip, "destination": destination, "state": state},
+        ).raise_for_status()
+
+    def set_platform_faults(self, **faults: Any) -> None:
+        """Switch the platform's faults; those not named are off."""
+        self.client.put(self.platform_url("/emulator/faults"), json=faults).raise_for_status()
+
+    def submit(self, host: str, note: dict) -> httpx.Response:
+        """Submit a release note to a host."""
+        resp = self.client.post(
+            self.admin_url(host, "/v1/releases"), content=yaml.safe_dump(note), headers=self.token
+        )
+        if resp.status_code == 200:
+            self.version = max(self.version, resp.json()["version"])
+        return resp
+
+    def submit_first_note(self) -> None:
+        """Submit the note that adds the whole deployment, and wait until all hosts are ready."""
+        host = next(iter(self.hosts))
+        resp = self.submit(host, self.first_note())
+        assert resp.status_code == 200, resp.text
+        for name in self.hosts:
+            self.wait_for(self.admin_url(name, "/readyz"))
+
+    def first_note(self) -> dict:
+        """Return the note that adds the whole deployment."""
+        deployment = self.deployment
+        options = {"keyed": False, **deployment.service_options}
+        return {
+            "predecessor": 0,
+            "added": {
+                "domains": list(deployment.domains),
+                "services": {
+                    name: {**options, "keyed": name in deployment.keyed}
+                    for name in deployment.workers
+                },
+                "targets": {
+                    name: {
+                        "service": name.rsplit("-", 1)[0],
+                        "address": self._relayed(address),
+                        "domain": self.domain_of(name),
+                    }
+                    for name, address in self.targets.items()
+                },
+            },
+        }
+
+    def domain_of(self, target: str) -> str:
+        """Return the failure domain of a target."""
+        domains = self.deployment.domains
+        return domains[list(self.targets).index(target) % len(domains)]
+
+    def status(self, host: str) -> dict:
+        """Return a host's own status."""
+        return self.client.get(self.admin_url(host, "/v1/status"), headers=self.token).json()
+
+    def explain(self, host: str, key: str, service: str = "permits") -> dict:
+        """Return who serves a key according to a host."""
+        url = self.admin_url(host, f"/v1/services/{service}/explain")
+        return self.client.get(url, params={"key": key}, headers=self.token).json()
+
+    def request(
+        self, host: str, key: str, method: str = "GET", service: str = "permits", **options: Any
+    ) -> httpx.Response:
+        """Send a caller's request to a host."""
+        headers = {"Radishshunt-Service": service, "Radishshunt-Key": key}
+        headers.update(options.pop("headers", {}))
+        return self.client.request(
+            method, self.caller_url(host, "/permit"), headers=headers, **options
+        )
+
+    @property
+    def token(self) -> dict[str, str]:
+        """Header that the administration API asks for."""
+        return {"Authorization": f"Bearer {TOKEN}"}
+
+    def caller_url(self, host: str, path: str) -> str:
+        """Return a URL of a host's callers' interface."""
+        return f"http://{self.hosts[host]['callers']['address']}{path}"
+
+    def admin_url(self, host: str, path: str) -> str:
+        """Return a URL of a host's administration API."""
+        return f"http://{self.hosts[host]['admin']['address']}{path}"
+
+    def platform_url(self, path: str) -> str:
+        """Return a URL of the platform, not relayed."""
+        return f"http://127.{self.deployment.net}.0.1:7000{path}"
+
+    def wait_for(self, url: str) -> None:
+        """Wait until a URL answers with status 200."""
+
+        def answers() -> bool:
+            try:
+                return self.client.get(url, headers=self.token).status_code == 200
+            except httpx.HTTPError:
+                return False
+
+        self.wait_until(answers, url)
+
+    def wait_until(
+        self, condition: Callable[[], bool], what: str, seconds: float = START_SECONDS
+    ) -> float:
+        """Wait until a condition holds and return the seconds that it took."""
+        started_at = time.monotonic()
+        while time.monotonic() < started_at + seconds:
+            if condition():
+                return time.monotonic() - started_at
+            time.sleep(POLL_SECONDS)
+        raise AssertionError(f"{what}: not within {seconds} s\n{self.logs()}")
+
+    def logs(self, lines: int = 15) -> str:
+        """Return the last log lines of each host, for messages."""
+        parts = []
+        for name in self.hosts:
+            path = self.directory / f"{name}.log"
+            if path.exists():
+                text = path.read_text(errors="replace").splitlines()[-lines:]
+                parts.append(f"--- {name}\n" + "\n".join(line[:300] for line in text))
+        return "\n".join(parts)
+
+    def _place_targets(self) -> None:
+        index = 0
+        for service, count in self.deployment.workers.items():
+            for number in range(1, count + 1):
+                index += 1
+                address = f"127.{self.deployment.net}.1.{index}:9000"
+                self.targets[f"{service}-{number:02d}"] = address
+
+    def _write_settings(self, index: int) -> dict:
+        net = self.deployment.net
+        name = f"host-{index + 1:02d}"
+        domain = self.deployment.domains[index % len(self.deployment.domains)]
+        ip = f"127.{net}.2.{index + 1}"
+        cfg = self.hosts[name] = {
+            "host": {"name": name, "domain": domain},
+            "callers": {"address": f"{ip}:8080"},
+            "admin": {"address": f"{ip}:8081", "token": TOKEN},
+            "peers": {"address": f"{ip}:8082", "advertise": self._relayed(f"{ip}:8082")},
+            "platform": {"url": f"http://{self._relayed(f'127.{net}.0.1:7000')}"},
+        }
+        cfg["peers"]["seeds"] = [
+            self._relayed(f"127.{net}.2.{other + 1}:8082")
+            for other in range(self.deployment.hosts)
+            if other != index
+        ]
+        (self.directory / f"{name}.yaml").write_text(yaml.safe_dump(cfg))
+        return {"host": name, "domain": domain, "address": cfg["peers"]["advertise"]}
+
+    def _relayed(self, address: str) -> str:
+        if not self.deployment.relayed:
+            return address
+        ip, _, port = address.rpartition(":")
+        return f"{ip}:{int(port) + RELAYED_PORT_OFFSET}"
+
+    def _start_relay(self) -> None:
+        net = self.deployment.net
+        addresses = {"platform": f"127.{net}.0.1:7000", **self.targets}
+        addresses.update({name: cfg["peers"]["address"] for name, cfg in self.hosts.items()})
+        routes = [f"{name}={self._relayed(a)}={a}" for name, a in addresses.items()]
+        self.start("relay", "emulate", "network", f"127.{net}.0.2:7001", *routes)
+        self.wait_for(f"http://127.{net}.0.2:7001/links")
