--- a/radishshunt/cmd/emulate.py
+++ b/radishshunt/cmd/emulate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from functools import partial
 from typing import Annotated
 
@@ -33,7 +34,9 @@
     checks_fences: Annotated[bool, typer.Option(help="Refuse requests without a grant.")] = True,
 ) -> None:
     """Run a stand-in target until ^C."""
-    emulator = TargetEmulator(name, slots, SystemClock(), checks_fences=checks_fences)
+    emulator = TargetEmulator(
+        name, slots, SystemClock(), checks_fences=checks_fences, on_crash=lambda: os._exit(70)
+    )
     trio.run(partial(serve_emulator, emulator.app, address))
 
 
