Record non-idempotent requests at dispatcher and standby dispatcher

Cause: a dispatcher that is lost with requests running left nobody who knows what has run. A new dispatcher fetches the records of the former one, which then takes no new ones and reports how running requests end.

--- a/radishshunt/errors.py
+++ b/radishshunt/errors.py
@@ -124,3 +124,13 @@
 
     def __init__(self, reason: str, detail: str = "", *, status: int = 504) -> None:
         super().__init__(reason, detail, status=status)
+
+
+class RanWithoutRecord(RequestError):
+    """The request ran, but its answer is not kept."""
+
+    category = "ran"
+    outcome = "ran"
+
+    def __init__(self, reason: str, detail: str = "", *, status: int = 409) -> None:
+        super().__init__(reason, detail, status=status)
--- a/radishshunt/model.py
+++ b/radishshunt/model.py
@@ -133,6 +133,7 @@
     :param deadline: Seconds since the Unix epoch.
     :param headers: Pairs to pass on, names in lower case.
     :param body: Chunks of the body; read at most once.
+    :param query: Whether to answer from the records only and never to run the request.
     """
 
     id: str
@@ -144,6 +145,12 @@
     body: AsyncIterator[bytes]
     deadline: float
     idempotency_key: str = ""
+    query: bool = False
+
+    @property
+    def record_key(self) -> str:
+        """Key of the request's record: the caller's idempotency key, or the request id."""
+        return self.idempotency_key or self.id
 
     @property
     def idempotent(self) -> bool:
--- a/radishshunt/wire/codec.py
+++ b/radishshunt/wire/codec.py
@@ -22,6 +22,7 @@
     Heartbeat,
     Hello,
     Intent,
+    IntentFetch,
     Intents,
     Message,
     Probe,
@@ -64,6 +65,15 @@
     Probe: ("probe", (("host", "host"),)),
     ProbeAnswer: ("probeAnswer", (("heard_at", "heardAt"),)),
     Document: ("document", (("name", "name"), ("version", "version"), ("content", "content"))),
+    IntentFetch: (
+        "intentFetch",
+        (
+            ("service", "service"),
+            ("group", "group"),
+            ("generation", "generation"),
+            ("sequence", "sequence"),
+        ),
+    ),
     Announce: ("announce", (("name", "name"), ("version", "version"), ("content", "content"))),
 }
 _PLAIN_BY_NAME = {name: (cls, fields) for cls, (name, fields) in _PLAIN.items()}
@@ -129,9 +139,7 @@
     elif isinstance(msg, Heartbeat):
         _fill_heartbeat(frame.init("heartbeat"), msg)
     elif isinstance(msg, Intents):
-        records = frame.init("intents", len(msg.records))
-        for part, record in zip(records, msg.records, strict=True):
-            _fill_intent(part, record)
+        _fill_intents(frame.init("intents"), msg)
     else:
         raise ProtocolError(f"{cls.__name__} is not a message")
 
@@ -157,7 +165,7 @@
     if name == "heartbeat":
         return _read_heartbeat(frame.heartbeat)
     if name == "intents":
-        return Intents([_read_intent(part) for part in frame.intents])
+        return _read_intents(frame.intents)
     raise ProtocolError(f"unknown message {name}")
 
 
@@ -182,6 +190,7 @@
     part.deadline = msg.deadline
     part.idempotencyKey = msg.idempotency_key
     part.group = msg.group
+    part.query = msg.query
 
 
 def _read_request(part: Any) -> RequestHead:
@@ -195,6 +204,7 @@
         deadline=part.deadline,
         idempotency_key=part.idempotencyKey,
         group=part.group,
+        query=part.query,
     )
 
 
@@ -227,13 +237,38 @@
         catalog_version=part.catalogVersion,
         groups=[GroupState(g.service, g.group, g.generation, g.load) for g in part.groups],
         suspects=[
-            Suspect(s.fingerprint, s.deaths, s.idempotencyKey, s.expiresAt) for s in part.suspects
+            Suspect(s.fingerprint, list(s.deaths), s.idempotencyKey, s.expiresAt)
+            for s in part.suspects
         ],
         leaving=part.leaving,
         sent_at=part.sentAt,
     )
 
 
+def _fill_intents(part: Any, msg: Intents) -> None:
+    part.service = msg.service
+    part.group = msg.group
+    part.generation = msg.generation
+    part.source = msg.source
+    part.sequence = msg.sequence
+    part.complete = msg.complete
+    records = part.init("records", len(msg.records))
+    for item, record in zip(records, msg.records, strict=True):
+        _fill_intent(item, record)
+
+
+def _read_intents(part: Any) -> Intents:
+    return Intents(
+        service=part.service,
+        group=part.group,
+        generation=part.generation,
+        source=part.source,
+        sequence=part.sequence,
+        complete=part.complete,
+        records=[_read_intent(item) for item in part.records],
+    )
+
+
 def _fill_intent(part: Any, msg: Intent) -> None:
     part.service = msg.service
     part.group = msg.group
--- a/radishshunt/wire/connection.py
+++ b/radishshunt/wire/connection.py
@@ -300,6 +300,7 @@
         "RequestHead",
         "Probe",
         "Intents",
+        "IntentFetch",
         "Fetch",
         "Announce",
     }
--- a/radishshunt/wire/messages.py
+++ b/radishshunt/wire/messages.py
@@ -37,11 +37,12 @@
 class Suspect:
     """A request that was running on targets as they were lost.
 
+    :param deaths: Incarnations of the lost targets; hosts take the union of what they know.
     :param expires_at: Seconds since the Unix epoch.
     """
 
     fingerprint: int
-    deaths: int
+    deaths: list[int]
     idempotency_key: str
     expires_at: float
 
@@ -66,7 +67,10 @@
 
 @dataclass(slots=True)
 class RequestHead:
-    """Start of a forwarded request; chunks and an end follow."""
+    """Start of a forwarded request; chunks and an end follow.
+
+    :param query: Whether to answer from the records only and never to run the request.
+    """
 
     id: str
     service: str
@@ -77,6 +81,7 @@
     deadline: float
     idempotency_key: str
     group: int
+    query: bool = False
 
 
 @dataclass(slots=True)
@@ -143,7 +148,8 @@
 class Intent:
     """Record of a non-idempotent request, kept by dispatcher and standby dispatcher.
 
-    :param state: ``sent``, ``answered``, ``unknown`` or ``not-run``.
+    :param state: ``sent``, ``answered``, ``ran`` (answered, but the answer is not kept),
+        ``unknown`` or ``not-run``.
     :param created_at: Seconds since the Unix epoch.
     """
 
@@ -161,11 +167,38 @@
 
 @dataclass(slots=True)
 class Intents:
-    """Records for the standby dispatcher, answered with an acknowledgement."""
+    """Records for the standby dispatcher, answered with an acknowledgement or a failure.
+
+    :param generation: Generation that the sending dispatcher uses for the group.
+    :param source: Incarnation of the sending dispatcher.
+    :param sequence: Number of the batch; 0 begins the transfer of all records of the group.
+    :param complete: Whether the receiver has all records of the group with this batch.
+    """
 
+    service: str
+    group: int
+    generation: int
+    source: int
+    sequence: int
+    complete: bool
     records: list[Intent]
 
 
+@dataclass(slots=True)
+class IntentFetch:
+    """Ask for a group's records on behalf of a new dispatcher, answered with :class:`Intents`.
+
+    :param generation: Generation of the new dispatcher; the receiver takes no new records of
+        lower ones from then on.
+    :param sequence: Number of the page.
+    """
+
+    service: str
+    group: int
+    generation: int
+    sequence: int
+
+
 @dataclass(slots=True)
 class Acknowledge:
     """Answer to a message that needs no other."""
@@ -211,6 +244,7 @@
     | Probe
     | ProbeAnswer
     | Intents
+    | IntentFetch
     | Acknowledge
     | Fetch
     | Document
--- a/radishshunt/wire/radishshunt.capnp
+++ b/radishshunt/wire/radishshunt.capnp
@@ -23,7 +23,7 @@
 
 struct Suspect {
   fingerprint @0 :UInt64;
-  deaths @1 :UInt16;
+  deaths @1 :List(UInt64);
   idempotencyKey @2 :Text;
   expiresAt @3 :Float64;
 }
@@ -50,6 +50,7 @@
   deadline @6 :Float64;
   idempotencyKey @7 :Text;
   group @8 :UInt32;
+  query @9 :Bool;
 }
 
 struct ResponseHead {
@@ -86,6 +87,23 @@
   body @9 :Data;
 }
 
+struct IntentBatch {
+  service @0 :Text;
+  group @1 :UInt32;
+  generation @2 :UInt64;
+  source @3 :UInt64;
+  sequence @4 :UInt64;
+  complete @5 :Bool;
+  records @6 :List(Intent);
+}
+
+struct IntentFetch {
+  service @0 :Text;
+  group @1 :UInt32;
+  generation @2 :UInt64;
+  sequence @3 :UInt64;
+}
+
 struct Document {
   name @0 :Text;
   version @1 :UInt64;
@@ -106,10 +124,11 @@
     window @9 :UInt32;
     probe @10 :Probe;
     probeAnswer @11 :ProbeAnswer;
-    intents @12 :List(Intent);
+    intents @12 :IntentBatch;
     acknowledge @13 :Bool;
     fetch @14 :Text;
     document @15 :Document;
     announce @16 :Document;
+    intentFetch @17 :IntentFetch;
   }
 }
--- /dev/null
+++ b/tests/test_intents/test_intents_store.py
@@ -0,0 +1,216 @@
+"""Records of non-idempotent requests: bounds, retention and the knowledge horizon."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from radishshunt.errors import NotRun, OutcomeOfRequestUnknown, RanWithoutRecord
+from radishshunt.intents import (
+    ANSWERED,
+    NOT_RUN,
+    RAN,
+    RETENTION_SECONDS,
+    SENT,
+    UNKNOWN,
+    GroupRecords,
+    IntentStore,
+    KnowledgeHorizon,
+    RecordsFull,
+    key_time,
+    new_request_id,
+    recorded_answer,
+    split_batches,
+)
+from radishshunt.wire.codec import MAX_FRAME_BYTES, encode
+from radishshunt.wire.messages import Intent, Intents
+
+NOW = 1_790_000_000.0
+
+
+def record(key: str = "k", created_at: float = NOW, state: str = SENT, **changes) -> Intent:
+    """Return a record."""
+    return replace(Intent("permits", 1, 4, key, 7, created_at, state), **changes)
+
+
+def test_record_is_kept_for_its_retention_only() -> None:
+    """Guards against records that fill the memory for ever, or go before their time."""
+    store = IntentStore()
+    store.add(record(), NOW)
+    assert store.get("permits", "k", NOW + RETENTION_SECONDS - 1) is not None
+    assert store.get("permits", "k", NOW + RETENTION_SECONDS) is None
+    assert store.bytes == 0
+
+
+def test_full_store_refuses_new_records_and_keeps_the_known_ones() -> None:
+    """Guards against forgetting a record, and running its request twice, for lack of room."""
+    store = IntentStore(max_records=2)
+    store.add(record("a"), NOW)
+    store.add(record("b"), NOW)
+    assert not store.has_room([record("c")], NOW)
+    with pytest.raises(RecordsFull):
+        store.add(record("c"), NOW)
+    store.add(record("a", state=SENT), NOW)
+    assert store.get("permits", "a", NOW) and store.get("permits", "b", NOW)
+    store.settle(record("a", state=NOT_RUN))
+    store.add(record("c"), NOW)
+
+
+def test_answer_without_room_leaves_the_fact_that_the_request_ran() -> None:
+    """Guards against both a memory bound that is exceeded and a lost record."""
+    store = IntentStore(max_bytes=2000)
+    store.add(record("a"), NOW)
+    store.settle(record("a", state=ANSWERED, status=200, body=b"x" * 5000))
+    assert store.bytes <= 2000
+    assert store.get("permits", "a", NOW).state == RAN
+    with pytest.raises(RecordsFull):
+        store.add(record("b" * 1500), NOW)
+
+
+def test_bytes_are_counted_right_over_changes() -> None:
+    """Guards against a memory bound that drifts."""
+    store = IntentStore()
+    for size in (0, 5000, 10):
+        store.settle(record("a", state=ANSWERED, body=b"x" * size))
+    store.settle(record("a", state=NOT_RUN))
+    assert (store.bytes, len(store)) == (0, 0)
+
+
+@pytest.mark.parametrize(
+    ("state", "error"),
+    [(SENT, OutcomeOfRequestUnknown), (UNKNOWN, OutcomeOfRequestUnknown), (RAN, RanWithoutRecord)],
+)
+def test_record_without_an_answer_says_what_is_known(state: str, error: type) -> None:
+    """Guards against an outcome that the record does not support."""
+    with pytest.raises(error):
+        recorded_answer(record(state=state))
+
+
+def test_batches_fit_into_frames() -> None:
+    """Guards against a transfer that the receiver cuts the connection for."""
+    records = [record(f"k{n}", state=ANSWERED, body=b"x" * 65536) for n in range(50)]
+    records += [record("k" * 1024 + str(n)) for n in range(600)]
+    batches = split_batches(records)
+    assert [r for batch in batches for r in batch] == records
+    for batch in batches:
+        assert len(encode(1, Intents("permits", 1, 4, 1, 1, True, batch))) < MAX_FRAME_BYTES
+    assert split_batches([]) == [[]]
+
+
+def test_time_of_a_key_is_read_from_a_uuidv7_only() -> None:
+    """Guards against taking a random key for a dated one."""
+    made = new_request_id(NOW, 2**74 - 1)
+    assert key_time(made) == pytest.approx(NOW, abs=0.001)
+    assert key_time(f"{made[:8]}-{made[8:12]}-{made[12:16]}-{made[16:20]}-{made[20:]}") is not None
+    assert key_time("3f2504e0-4f89-41d3-9a0c-0305e82c3301") is None
+    assert key_time("order 17") is None
+    assert key_time("") is None
+
+
+def check(horizon: KnowledgeHorizon, key: str, now: float, *, from_caller: bool = True) -> None:
+    horizon.check(5, key, now, from_caller=from_caller)
+
+
+def test_dispatcher_with_all_records_runs_any_key() -> None:
+    """Guards against ``unknown`` where everything is known."""
+    check(KnowledgeHorizon(known=True), "order 17", NOW)
+
+
+def test_keys_from_before_the_horizon_or_without_time_are_unknown() -> None:
+    """Guards against running a request again whose record was lost with both dispatchers."""
+    horizon = KnowledgeHorizon(known=False)
+    made_then = new_request_id(NOW - 1, 5)
+    with pytest.raises(OutcomeOfRequestUnknown):
+        check(horizon, new_request_id(NOW, 5), NOW)
+    horizon.note_served([5], NOW)
+    for key in (made_then, "order 17"):
+        with pytest.raises(OutcomeOfRequestUnknown):
+            check(horizon, key, NOW + 10)
+    check(horizon, new_request_id(NOW + 1, 5), NOW + 1, from_caller=False)
+    check(horizon, new_request_id(NOW + 6, 5), NOW + 6)
+    with pytest.raises(OutcomeOfRequestUnknown):
+        # A caller's clock may run ahead.
+        check(horizon, new_request_id(NOW + 1, 5), NOW + 1)
+    check(horizon, "order 17", NOW + RETENTION_SECONDS)
+    assert not horizon.passed([5, 6], NOW + RETENTION_SECONDS)
+    assert horizon.passed([5], NOW + RETENTION_SECONDS)
+
+
+def test_horizon_holds_for_each_slice_from_its_own_first_service() -> None:
+    """Guards against trusting a slice whose former owner was not fenced yet."""
+    horizon = KnowledgeHorizon(known=False)
+    horizon.note_served([6], NOW)
+    with pytest.raises(OutcomeOfRequestUnknown):
+        check(horizon, new_request_id(NOW + 8, 5), NOW + 8)
+
+
+def test_key_of_the_future_is_refused() -> None:
+    """Guards against keys that seem newer than a horizon although they were used before it."""
+    with pytest.raises(NotRun):
+        check(KnowledgeHorizon(known=True), new_request_id(NOW + 60, 5), NOW)
+
+
+def test_key_older_than_the_retention_is_unknown() -> None:
+    """Guards against running a request again whose record has expired."""
+    with pytest.raises(OutcomeOfRequestUnknown):
+        check(KnowledgeHorizon(known=True), new_request_id(NOW - 601, 5), NOW)
+
+
+def test_standby_dispatcher_with_a_complete_copy_knows_everything() -> None:
+    """Guards against a horizon after the loss of the dispatcher alone."""
+    state = GroupRecords()
+    assert state.admit(4, 77, 0, False) is None
+    assert not GroupRecords(following=state.following).lead(5, first=False)
+    state = GroupRecords()
+    state.admit(4, 77, 0, False)
+    assert state.admit(4, 77, 1, True) is None
+    assert state.lead(5, first=False)
+    assert state.admit(4, 77, 2, False) == "stale-generation"
+
+
+@pytest.mark.parametrize(
+    ("sequence", "source", "reason"),
+    [(2, 77, None), (1, 77, None), (3, 77, "out-of-sequence"), (2, 78, "out-of-sequence")],
+)
+def test_batches_are_taken_in_order_from_one_dispatcher(sequence, source, reason) -> None:
+    """Guards against a copy with a gap that counts as complete."""
+    state = GroupRecords()
+    state.admit(4, 77, 0, False)
+    state.admit(4, 77, 1, True)
+    assert state.admit(4, source, sequence, False) == reason
+
+
+def test_copy_from_before_other_rows_is_not_complete() -> None:
+    """Guards against a former standby dispatcher that takes its old copy for the last state."""
+    state = GroupRecords()
+    state.admit(4, 77, 0, True)
+    assert not GroupRecords(following=state.following).lead(8, first=False)
+    state.follow_row(6, 77)
+    assert state.lead(8, first=False)
+
+
+def test_row_of_another_dispatcher_is_not_followed() -> None:
+    """Guards against counting the records of an unknown dispatcher as known."""
+    state = GroupRecords()
+    state.admit(4, 77, 0, True)
+    state.follow_row(6, 78)
+    assert not state.lead(8, first=False)
+
+
+def test_dispatcher_that_missed_a_row_does_not_know_everything() -> None:
+    """Guards against a dispatcher that was replaced and named again while it was paused."""
+    state = GroupRecords()
+    assert state.lead(2, first=True)
+    assert state.lead(4, first=False)
+    assert not state.lead(8, first=False)
+
+
+def test_records_are_surrendered_once() -> None:
+    """Guards against a former dispatcher that records requests after a new one has its copy."""
+    state = GroupRecords()
+    state.lead(2, first=True)
+    assert state.surrender(4)
+    assert state.admit(3, 77, 0, True) == "stale-generation"
+    assert state.lowest == 4
+    assert not GroupRecords().surrender(4)
