Test that a dispatcher named again repeats nothing

Cause: in the simulation the target accepted a former dispatcher's requests after the takeover. Change: the simulated target refuses every lower generation; one more test for a dispatcher that is named again after its standby dispatcher had taken over and was lost.

--- a/tests/support/simulation.py
+++ b/tests/support/simulation.py
@@ -145,7 +145,7 @@
         await ready()
         # The process may be paused here, after its record was taken.
         await trio.sleep(sim.random.choice([0.0, 0.0, 0.0, 0.3, 1.5]))
-        if sim.fence > self.generation | 1:
+        if sim.fence > self.generation:
             raise NotRun("wrong-epoch", "the target is fenced")
         return await sim.execute(req, body)
 
--- a/tests/test_intents/test_intents_at_most_once.py
+++ b/tests/test_intents/test_intents_at_most_once.py
@@ -254,3 +254,24 @@
         assert sim.clock.now() - now < 4.0
         nursery.cancel_scope.cancel()
     assert len(sim.history.executions) == 1
+
+
+async def test_dispatcher_named_again_does_not_repeat_what_ran_meanwhile(autojump_clock) -> None:
+    """Guards against a takeover that runs requests whose only record is lost with its host."""
+    sim = Simulation(Random(1), loss=0.0)
+    async with trio.open_nursery() as nursery:
+        sim.nursery = nursery
+        for name in "abc":
+            await sim.add_host(name)
+        await sim.hosts["a"].lead(sim.row(2, "a", "b"), 2)
+        await trio.sleep(0.5)
+        await sim.hosts["b"].lead(sim.row(2, "a", "b"), 3)
+        sim.dispatcher = "b"
+        assert (await sim.call("c1", "fee", 2.0)).outcome == "not-run"
+        sim.hosts["b"].kill()
+        await sim.hosts["a"].lead(sim.row(4, "a", "c"), 4)
+        sim.dispatcher = "a"
+        assert (await sim.call("c2", "fee", 2.0)).status == 200
+        nursery.cancel_scope.cancel()
+    assert check(sim.history) == []
+    assert len(sim.history.executions) == 1
