Judge each connection to a target, and run non-idempotent requests through their records

Cause: connections that went silent held requests until their deadline and made targets count as lost; slots were given back while targets still ran requests; refusals after an attempt that may have run said not-run; a request that crashes targets was sent to one after the other. Change: one client for each connection (connections.py) with a limit that also holds during a takeover; a request without an answer for 0.3 s is asked for on a new connection; answers are checked for id and framing (answers.py); cancellation goes on to the target and the slot is kept until the request has surely ended; the deadline is checked again before the first byte. The group dispatcher uses the records, retries within a budget, and refuses requests that were running on two lost targets (quarantine.py, shared by heartbeats). The entry host asks the new dispatcher under the same key after the loss of a dispatcher (router.py, forwarding.py). Callers need HTTP/1.1, because they would not notice a cut answer otherwise.

--- a/radishshunt/app.py
+++ b/radishshunt/app.py
@@ -14,12 +14,14 @@
 from radishshunt.directory import Directory
 from radishshunt.dispatch.manager import DispatchManager
 from radishshunt.frontend import Frontend
+from radishshunt.intent_log import IntentLog
 from radishshunt.membership import Membership
 from radishshunt.metrics import Metrics
 from radishshunt.model import HostInfo, HostRef, ip_of, new_incarnation
 from radishshunt.peers import PeerNetwork
 from radishshunt.planning import Planning
 from radishshunt.platform.http import connect
+from radishshunt.quarantine import Quarantine
 from radishshunt.router import Router
 from radishshunt.supervisor import Supervisor
 from radishshunt.sync import Sync
@@ -59,12 +61,17 @@
         self.metrics = Metrics()
         self.directory = Directory()
         self.network = PeerNetwork(self.me, cfg.peers.address)
+        ref = HostRef(self.me.host, self.me.incarnation)
+        self.intents = IntentLog(ref, self.network, self.clock)
+        self.quarantine = Quarantine()
         self.dispatch = DispatchManager(
-            HostRef(self.me.host, self.me.incarnation),
+            ref,
             self.directory,
             cfg.limits,
             self.clock,
             ip_of(cfg.peers.address),
+            log=self.intents,
+            quarantine=self.quarantine,
         )
         self.membership = Membership(self.network, self.clock, self.describe, self._on_heartbeat)
         self.sync = Sync(self.directory, self.network, self.platform, self.clock, self._on_catalog)
@@ -108,6 +115,7 @@
             address=self.me.address,
             catalog_version=self.directory.catalog.version,
             groups=self.dispatch.states(),
+            suspects=self.quarantine.suspects(self.clock.now()),
             leaving=self.leaving,
             sent_at=self.clock.now(),
         )
@@ -206,6 +214,7 @@
 
     def _on_heartbeat(self, beat: Heartbeat) -> None:
         self.sync.note_heartbeat(beat)
+        self.quarantine.merge(beat.suspects, self.clock.now())
 
     def _on_catalog(self, catalog: Catalog) -> None:
         self.metrics.catalog_version.set(catalog.version)
--- /dev/null
+++ b/radishshunt/control.py
@@ -0,0 +1,186 @@
+"""Client of a target's control endpoints."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import httpx
+import trio
+
+from radishshunt.connections import NoConnectionFree
+from radishshunt.errors import RadishshuntError
+
+if TYPE_CHECKING:
+    from radishshunt.connections import ConnectionPool
+    from radishshunt.ownership import Fence, Grant
+    from radishshunt.release.catalog import TargetSpec
+
+CONTROL_TIMEOUT_SECONDS = 0.25
+# A control call moves from a kept connection to a new one after this time, so that a silent
+# connection alone never makes the target count as lost.
+CONTROL_SWITCH_SECONDS = 0.1
+
+
+class GrantRejected(RadishshuntError):
+    """A target refused a grant or a fence.
+
+    :param reason: ``fenced`` or ``incarnation``.
+    """
+
+    category = "grant rejected"
+
+    def __init__(self, reason: str, incarnation: int) -> None:
+        super().__init__(f"target rejected the grant: {reason}")
+        self.reason = reason
+        self.incarnation = incarnation
+
+
+class TargetUnreachable(RadishshuntError):
+    """A target did not answer a control call."""
+
+    category = "target unreachable"
+
+
+@dataclass(frozen=True, slots=True)
+class FenceAnswer:
+    """Answer to a fence.
+
+    :param held_standby: Slices for which the target has held a step-1 grant.
+    :param busy_until: Latest deadline of requests running under lower epochs, 0 for none.
+    """
+
+    incarnation: int
+    held_standby: frozenset[int]
+    busy_until: float
+
+
+class ControlClient:
+    """Makes control calls to one target.
+
+    :ivar incarnation: Run of the target as last seen, 0 if it has ended and the next one was not
+        seen yet.
+    """
+
+    def __init__(self, spec: TargetSpec, pool: ConnectionPool) -> None:
+        self._name = spec.name
+        self._pool = pool
+        self.incarnation = 0
+
+    async def fence(self, service: str, group: int, command: Fence) -> FenceAnswer:
+        """Fence the target.
+
+        :raises GrantRejected: If the target is fenced at a higher generation.
+        :raises TargetUnreachable: If there is no answer.
+        """
+        doc = {"service": service, "group": group, "generation": command.generation}
+        answer = await self._control("/_target/fence", doc)
+        self.incarnation = answer["incarnation"]
+        return FenceAnswer(
+            answer["incarnation"],
+            frozenset(answer.get("held_standby", ())),
+            answer.get("busy_until", 0.0),
+        )
+
+    async def grant(self, service: str, group: int, command: Grant) -> None:
+        """Grant slices to the target, or renew its grant.
+
+        :raises GrantRejected: If the target is fenced higher or was restarted.
+        :raises TargetUnreachable: If there is no answer.
+        """
+        doc = {
+            "service": service,
+            "group": group,
+            "generation": command.generation,
+            "incarnation": command.incarnation,
+            "owned": [s for s, step in command.steps.items() if step == 0],
+            "taken_over": [s for s, step in command.steps.items() if step == 1],
+            "deadline": command.deadline,
+        }
+        await self._control("/_target/grant", doc)
+
+    async def check_death(self, incarnation: int) -> bool:
+        """Return whether the run of the target that broke a connection has ended.
+
+        A target that accepts a connection but gives no answer may be slow, so it is not dead.
+
+        :param incarnation: Run that the connection belonged to, 0 if that is not known.
+        """
+        try:
+            resp = await self._call(
+                "GET", "/_target/health", fresh=True, timeout=CONTROL_TIMEOUT_SECONDS
+            )
+            seen = resp.json().get("incarnation", incarnation)
+            if self.incarnation == incarnation:
+                self.incarnation = seen
+            return bool(incarnation) and seen != incarnation
+        except (httpx.TimeoutException, NoConnectionFree, ValueError):
+            return False
+        except httpx.HTTPError:
+            if self.incarnation == incarnation:
+                self.incarnation = 0
+            return True
+
+    async def runs(self, request_id: str) -> bool | None:
+        """Return whether the target runs a request, or ``None`` if it does not say."""
+        try:
+            resp = await self._call(
+                "GET",
+                f"/_target/requests/{request_id}",
+                fresh=True,
+                timeout=CONTROL_TIMEOUT_SECONDS,
+            )
+            return resp.json()["running"] if resp.status_code == 200 else None
+        except (httpx.HTTPError, NoConnectionFree, ValueError, KeyError, TypeError):
+            return None
+
+    async def cancel(self, request_id: str) -> int:
+        """Cancel a request and return the status of the target's answer.
+
+        :raises httpx.HTTPError: If there is none.
+        :raises NoConnectionFree: If the connection limit is reached.
+        """
+        resp = await self._call(
+            "DELETE",
+            f"/_target/requests/{request_id}",
+            fresh=False,
+            timeout=CONTROL_TIMEOUT_SECONDS,
+        )
+        return resp.status_code
+
+    async def _control(self, path: str, doc: dict) -> dict:
+        try:
+            resp = await self._call_twice("POST", path, doc)
+            answer = resp.json()
+        except (httpx.HTTPError, NoConnectionFree, ValueError) as exc:
+            raise TargetUnreachable(f"target {self._name}: {exc!r}") from exc
+        if resp.status_code == 409:
+            raise GrantRejected(answer.get("reason", "fenced"), answer.get("incarnation", 0))
+        if resp.status_code != 200:
+            raise TargetUnreachable(f"target {self._name}: status {resp.status_code}")
+        return answer
+
+    async def _call_twice(self, method: str, path: str, doc: dict) -> httpx.Response:
+        try:
+            return await self._call(method, path, doc, fresh=False, timeout=CONTROL_SWITCH_SECONDS)
+        except httpx.HTTPError:
+            await self._pool.renew()
+        left = CONTROL_TIMEOUT_SECONDS - CONTROL_SWITCH_SECONDS
+        return await self._call(method, path, doc, fresh=True, timeout=left)
+
+    async def _call(
+        self, method: str, path: str, doc: dict | None = None, *, fresh: bool, timeout: float
+    ) -> httpx.Response:
+        """Make a control call; all of them have the same effect when they are repeated."""
+        conn = await self._pool.take(fresh=fresh, control=True)
+        try:
+            with trio.fail_after(timeout):
+                resp = await conn.client.request(method, path, json=doc, timeout=None)
+        except trio.TooSlowError as exc:
+            await self._pool.drop(conn)
+            raise httpx.ReadTimeout(f"no answer within {timeout} s") from exc
+        except BaseException:
+            await self._pool.drop(conn)
+            raise
+        await self._pool.give_back(conn)
+        return resp
--- a/radishshunt/dispatch/grants.py
+++ b/radishshunt/dispatch/grants.py
@@ -54,6 +54,10 @@
         self._ownership = GroupOwnership(row, generation, grant_seconds)
         self._on_changed()
 
+    def all_fenced(self) -> bool:
+        """Return whether every target is fenced for the generation in use."""
+        return self._ownership.all_fenced()
+
     def lost_targets(self) -> set[str]:
         """Return the targets that count as lost."""
         return self._ownership.lost_targets()
--- a/radishshunt/dispatch/group.py
+++ b/radishshunt/dispatch/group.py
@@ -2,31 +2,43 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import trio
 
 from radishshunt.dispatch.grants import GrantKeeper
 from radishshunt.dispatch.lane import Lane
-from radishshunt.errors import NotOwner, NotRun
-from radishshunt.hashing import key_hash
+from radishshunt.dispatch.once import OnceRunner
+from radishshunt.dispatch.replication import Replicator
+from radishshunt.errors import NotOwner, NotRun, OutcomeOfRequestUnknown
+from radishshunt.hashing import fingerprint, key_hash
+from radishshunt.intents import KnowledgeHorizon
 from radishshunt.logs import decision
-from radishshunt.model import Response, read_body
-from radishshunt.targets import TargetClient
+from radishshunt.model import new_incarnation, read_body
+from radishshunt.retries import RetryBudget
+from radishshunt.targets import Envelope, TargetClient
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import Awaitable, Callable, Iterable
 
     from radishshunt.clock import Clock
     from radishshunt.directory import Directory
-    from radishshunt.model import GroupRow, Request
+    from radishshunt.intent_log import IntentLog
+    from radishshunt.model import GroupRow, Request, Response
     from radishshunt.ownership import Serving
+    from radishshunt.quarantine import Quarantine
     from radishshunt.settings import LimitsSection
 
+FIRST_GENERATION = 2
+# How often a dispatcher that lacks earlier records looks whether they are still needed.
+HORIZON_INTERVAL_SECONDS = 5.0
 # Pause before a request that did not run is tried again.
 RETRY_PAUSE_SECONDS = 0.05
-# Time kept back for the answer's way, so that no request is sent too late to matter.
-SEND_MARGIN_SECONDS = 0.002
+# Reasons of targets and connections after which another attempt may succeed.
+_RETRIED_NOT_RUN = frozenset({"wrong-epoch", "no-grant", "connect-failed"})
+_RETRIED_IDEMPOTENT = frozenset(
+    {"no-answer", "connection-silent", "connection-broke", "wrong-answer"}
+)
 
 
 class GroupDispatcher:
@@ -35,6 +47,8 @@
     :param row: The group's row.
     :param generation: Generation that this host uses for the group.
     :param local_address: IP number that connections to targets come from.
+    :param log: This host's records of non-idempotent requests.
+    :param former_hosts: Hosts that may hold the group's records.
     """
 
     def __init__(
@@ -45,8 +59,18 @@
         limits: LimitsSection,
         clock: Clock,
         local_address: str | None = None,
+        *,
+        log: IntentLog,
+        quarantine: Quarantine,
+        former_hosts: Iterable[str] = (),
     ) -> None:
         self._local_address = local_address
+        self._log = log
+        self._quarantine = quarantine
+        self._former_hosts = tuple(former_hosts)
+        self._nursery: trio.Nursery | None = None
+        self._budget = RetryBudget()
+        self._suspect_locks: dict[str, trio.Lock] = {}
         self.row = row
         self.group = row.group
         self._directory = directory
@@ -60,6 +84,21 @@
             row, generation, self._grant_seconds(), self._clients, clock, self._notify
         )
         self._scope = trio.CancelScope()
+        known = log.lead(self.group, generation, first=row.generation == FIRST_GENERATION)
+        self._horizon = KnowledgeHorizon(known)
+        self._records_ready = trio.Event()
+        self._replicator = Replicator(
+            row, generation, log, clock, known=lambda: self._horizon.known
+        )
+        self._once = OnceRunner(
+            self.group,
+            log,
+            self._replicator,
+            self._horizon,
+            clock,
+            self._spawn,
+            self._grant_seconds,
+        )
 
     @property
     def generation(self) -> int:
@@ -89,6 +128,12 @@
         """Go on under a new row."""
         self.row = row
         self._add_targets(row)
+        continues = self._log.continues(self.group, generation)
+        known = self._log.lead(self.group, generation, first=False)
+        if not continues:
+            self._horizon.restart(known)
+            self._replicator.resync()
+        self._replicator.update_row(row, generation)
         self._grants.update_row(row, generation, self._grant_seconds())
 
     def stop(self) -> None:
@@ -98,9 +143,17 @@
         self._notify()
 
     async def run(self) -> None:
-        """Keep the group's grants until stopped."""
-        with self._scope:
-            await self._grants.run()
+        """Keep the group's grants until stopped, and then wait for the requests that run."""
+        try:
+            async with trio.open_nursery() as requests:
+                self._nursery = requests
+                with self._scope:
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(self._keep_records)
+                        await self._grants.run()
+        finally:
+            for client in self._clients.values():
+                await client.aclose()
 
     async def handle(self, req: Request, slice_number: int | None) -> Response:
         """Serve a request.
@@ -111,33 +164,106 @@
         body = await read_body(req.body, self._limits.body_bytes)
         if body is None:
             raise NotRun("body-too-large", "the body is over the limit", status=413)
+        self._budget.note_request()
+        if req.idempotent:
+            return await self._run(req, body, slice_number, _nothing)
+
+        with trio.move_on_after(max(0.0, req.deadline - self._clock.now())):
+            await self._records_ready.wait()
+
+        async def send(req: Request, body: bytes, ready: Callable[[], Awaitable[None]]) -> Response:
+            return await self._run(req, body, slice_number, ready)
+
+        return await self._once.handle(req, body, slice_number, send)
+
+    async def _run(
+        self,
+        req: Request,
+        body: bytes,
+        slice_number: int | None,
+        ready: Callable[[], Awaitable[None]],
+    ) -> Response:
+        """Run a request on the target that serves it, again if that is safe.
+
+        :param ready: Awaited with a slot taken, before the first byte is sent.
+        """
+        print_ = fingerprint(req.service, req.method, req.path, req.key, body)
+        attempted: OutcomeOfRequestUnknown | None = None
         while True:
-            serving = await self._wait_serving(slice_number, req.deadline)
-            lane = self._lanes[serving.target]
-            await lane.acquire(req.deadline)
-            released = False
             try:
-                if self._serving(slice_number, serving.target) is None:
-                    continue
-                resp = await self._send(req, body, slice_number, serving)
-                resp.body = _releasing(resp.body, lane)
-                released = True
-                return resp
+                return await self._attempt(req, body, slice_number, print_, ready)
             except NotRun as exc:
-                if exc.reason not in ("wrong-epoch", "no-grant", "connect-failed"):
+                if exc.reason not in _RETRIED_NOT_RUN or self._too_late(req):
+                    # An earlier attempt may have run, so that "not-run" would not be true.
+                    raise _combined(attempted, exc) from exc
+            except OutcomeOfRequestUnknown as exc:
+                retried = req.idempotent and exc.reason in _RETRIED_IDEMPOTENT
+                if not retried or self._too_late(req) or not self._budget.take():
                     raise
-                await trio.sleep(RETRY_PAUSE_SECONDS)
-            finally:
-                if not released:
-                    lane.release()
+                attempted = exc
+                decision(
+                    "retry", service=req.service, key_hash=key_hash(req.key), reason=exc.reason
+                )
+            await trio.sleep(RETRY_PAUSE_SECONDS)
 
-    async def _send(
-        self, req: Request, body: bytes, slice_number: int | None, serving: Serving
+    async def _attempt(
+        self,
+        req: Request,
+        body: bytes,
+        slice_number: int | None,
+        print_: int,
+        ready: Callable[[], Awaitable[None]],
     ) -> Response:
+        serving = await self._wait_serving(slice_number, req.deadline)
         now = self._clock.now()
-        deadline = min(req.deadline, serving.deadline)
-        if deadline - now < SEND_MARGIN_SECONDS:
-            raise NotRun("deadline", "the deadline passed before sending", status=504)
+        self._quarantine.check(print_, req.idempotency_key, now)
+        if not self._quarantine.deaths(print_, req.idempotency_key, now):
+            return await self._send_in_slot(req, body, slice_number, print_, serving, ready)
+        # Suspects run one at a time on a target, so that a harmless request that was running
+        # beside a crash is not there again when the same request causes the next one.
+        lock = self._suspect_locks.setdefault(serving.target, trio.Lock())
+        with trio.move_on_after(max(0.0, req.deadline - now)) as scope:
+            await lock.acquire()
+        if scope.cancelled_caught:
+            raise NotRun("deadline", "the deadline passed while the request waited", status=504)
+        try:
+            self._quarantine.check(print_, req.idempotency_key, self._clock.now())
+            return await self._send_in_slot(req, body, slice_number, print_, serving, ready)
+        finally:
+            lock.release()
+
+    async def _send_in_slot(
+        self,
+        req: Request,
+        body: bytes,
+        slice_number: int | None,
+        print_: int,
+        serving: Serving,
+        ready: Callable[[], Awaitable[None]],
+    ) -> Response:
+        lane = self._lanes[serving.target]
+        await lane.acquire(req.deadline)
+        handed_over = False
+        try:
+            await ready()
+            current = self._serving(slice_number, serving.target)
+            if current is None:
+                raise NotRun("no-grant", "the target no longer serves the key", retry_after=1.0)
+            handed_over = True
+            return await self._send(req, body, slice_number, print_, current, lane)
+        finally:
+            if not handed_over:
+                lane.release()
+
+    async def _send(
+        self,
+        req: Request,
+        body: bytes,
+        slice_number: int | None,
+        print_: int,
+        serving: Serving,
+        lane: Lane,
+    ) -> Response:
         decision(
             "send",
             service=req.service,
@@ -149,15 +275,51 @@
             request_id=req.id,
             reason="owner" if slice_number is not None else "least-loaded",
         )
-        return await self._clients[serving.target].send(
-            req,
-            body,
-            now=now,
-            group=self.group.group,
-            slice_number=slice_number,
-            epoch=serving.epoch,
-            deadline=deadline,
-        )
+        client = self._clients[serving.target]
+        incarnation = client.control.incarnation
+        deadline = min(req.deadline, serving.deadline)
+        envelope = Envelope(self.group.group, slice_number, serving.epoch, deadline)
+        try:
+            return await client.send(req, body, envelope, lane.release)
+        except OutcomeOfRequestUnknown as exc:
+            if exc.reason == "connection-broke" and await client.control.check_death(incarnation):
+                now = self._clock.now()
+                self._quarantine.note_death(
+                    print_, req.idempotency_key, incarnation or new_incarnation(), now
+                )
+                decision(
+                    "suspect",
+                    service=req.service,
+                    key_hash=key_hash(req.key),
+                    target=serving.target,
+                    fingerprint=f"{print_:016x}",
+                    reason="target-lost-while-running",
+                )
+            raise
+
+    async def _keep_records(self) -> None:
+        """Get the former dispatcher's records, and then keep the standby dispatcher's copy."""
+        if not self._horizon.known and self._former_hosts:
+            generation = self.generation
+            if await self._log.fetch(self.group, generation, self._former_hosts):
+                self._horizon.known = True
+        self._records_ready.set()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._replicator.run)
+            while True:
+                await trio.sleep(HORIZON_INTERVAL_SECONDS)
+                if self._horizon.passed(self.row.slices or (None,), self._clock.now()):
+                    self._horizon.known = True
+                    self._log.set_known(self.group)
+                    self._replicator.resync()
+
+    def _too_late(self, req: Request) -> bool:
+        return self._clock.now() + RETRY_PAUSE_SECONDS >= req.deadline
+
+    def _spawn(self, *args: Any) -> None:
+        if self._nursery is None:
+            raise RuntimeError("the dispatcher does not run yet")
+        self._nursery.start_soon(*args)
 
     async def _wait_serving(self, slice_number: int | None, deadline: float) -> Serving:
         while True:
@@ -192,20 +354,34 @@
             if target is not None and name not in self._lanes:
                 limit = self._limits.queue_per_target
                 self._lanes[name] = Lane(target.slots, limit, self._clock)
-                self._clients[name] = TargetClient(target, self._local_address)
+                self._clients[name] = TargetClient(
+                    target, self._local_address, clock=self._clock, spawn=self._spawn
+                )
 
     def _grant_seconds(self) -> float:
         return self._directory.catalog.services[self.group.service].grant_seconds
 
     def _notify(self) -> None:
+        if not self._horizon.known:
+            now = self._clock.now()
+            numbers = self.row.slices or ([None] if self._grants.all_fenced() else [])
+            self._horizon.note_served(
+                [n for n in numbers if n is None or self._serving(n) is not None], now
+            )
         self._changed.set()
         self._changed = trio.Event()
 
 
-async def _releasing(body: AsyncIterator[bytes], lane: Lane) -> AsyncIterator[bytes]:
-    """Yield a body and give the slot back at its end."""
-    try:
-        async for chunk in body:
-            yield chunk
-    finally:
-        lane.release()
+async def _nothing() -> None:
+    await trio.lowlevel.checkpoint()
+
+
+def _combined(attempted: OutcomeOfRequestUnknown | None, refusal: NotRun) -> Exception:
+    """Return the error for a request whose last attempt did not run.
+
+    :param attempted: How an earlier attempt that may have run has ended, if there was one.
+    """
+    if attempted is None:
+        return refusal
+    detail = f"{attempted.detail}; the next attempt was refused: {refusal.detail}"
+    return OutcomeOfRequestUnknown(refusal.reason, detail, status=refusal.status)
--- a/radishshunt/dispatch/manager.py
+++ b/radishshunt/dispatch/manager.py
@@ -13,7 +13,9 @@
 if TYPE_CHECKING:
     from radishshunt.clock import Clock
     from radishshunt.directory import Directory
-    from radishshunt.model import GroupId, HostRef
+    from radishshunt.intent_log import IntentLog
+    from radishshunt.model import GroupId, GroupRow, HostRef
+    from radishshunt.quarantine import Quarantine
     from radishshunt.settings import LimitsSection
 
 RECONCILE_INTERVAL_SECONDS = 0.2
@@ -29,7 +31,13 @@
         limits: LimitsSection,
         clock: Clock,
         local_address: str | None = None,
+        *,
+        log: IntentLog,
+        quarantine: Quarantine,
     ) -> None:
+        self._intents = log
+        self._quarantine = quarantine
+        self._former: dict[GroupId, GroupRow] = {}
         self._local_address = local_address
         self._me = me
         self._directory = directory
@@ -55,6 +63,7 @@
 
     def _reconcile(self, nursery: trio.Nursery) -> None:
         for group, row in self._directory.rows.items():
+            self._intents.follow_row(row)
             running = self.groups.get(group)
             if row.dispatcher == self._me:
                 if running is None:
@@ -65,6 +74,9 @@
                         self._limits,
                         self._clock,
                         self._local_address,
+                        log=self._intents,
+                        quarantine=self._quarantine,
+                        former_hosts=self._hosts_of(self._former.get(group)),
                     )
                     self.groups[group] = running
                     nursery.start_soon(running.run)
@@ -74,9 +86,15 @@
                     self._log(running, "new-row")
             elif running is not None and running.generation < row.generation:
                 self._stop(group, "row-names-another-host")
+            self._former[group] = row
         for group in [g for g in self.groups if g not in self._directory.rows]:
             self._stop(group, "service-withdrawn")
 
+    def _hosts_of(self, row: GroupRow | None) -> list[str]:
+        """Return the other hosts that a row names."""
+        refs = [row.dispatcher, row.standby_dispatcher] if row is not None else []
+        return [ref.host for ref in refs if ref is not None and ref != self._me]
+
     def _stop(self, group: GroupId, reason: str) -> None:
         dispatcher = self.groups.pop(group)
         dispatcher.stop()
--- a/radishshunt/hashing.py
+++ b/radishshunt/hashing.py
@@ -2,8 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from xxhash import xxh3_64_hexdigest, xxh3_64_intdigest
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from radishshunt.model import GroupId
+
 # Bytes of a body that take part in a request's fingerprint.
 FINGERPRINT_BODY_BYTES = 64 * 1024
 
@@ -17,6 +24,14 @@
     return (xxh3_64_intdigest(key.encode()) * slices) >> 64
 
 
+def preferred(groups: Sequence[GroupId], key: str) -> GroupId:
+    """Return the group with the highest hash for a key.
+
+    When a group is added or removed, only the keys that it gains or had change their group.
+    """
+    return max(groups, key=lambda group: (xxh3_64_intdigest(f"{group.group}:{key}"), group))
+
+
 def key_hash(key: str) -> str:
     """Return the hash of a key as 16 hexadecimal digits, for logs.
 
--- a/radishshunt/ownership.py
+++ b/radishshunt/ownership.py
@@ -159,6 +159,10 @@
         """Return the grant of a target of a service without keys."""
         return self._serving_target(target, 0, None, now)
 
+    def all_fenced(self) -> bool:
+        """Return whether every target is fenced for this generation."""
+        return all(state.fenced for state in self._targets.values())
+
     def lost_targets(self) -> set[str]:
         """Return the targets that count as lost under this generation."""
         return {name for name, state in self._targets.items() if state.lost}
--- a/radishshunt/router.py
+++ b/radishshunt/router.py
@@ -13,16 +13,24 @@
     OutcomeOfRequestUnknown,
     PeerUnavailable,
     ProtocolError,
+    RequestError,
 )
-from radishshunt.hashing import key_hash, slice_of
+from radishshunt.forwarding import (
+    ForwardedAnswer,
+    ReplayableBody,
+    RequestSender,
+    failure_of,
+    head_of,
+    request_body,
+    send_answer,
+)
+from radishshunt.hashing import key_hash, preferred, slice_of
 from radishshunt.logs import decision
 from radishshunt.model import GroupId, Request, Response
-from radishshunt.wire.connection import CHUNK_BYTES
-from radishshunt.wire.messages import Chunk, End, Failure, RequestHead, ResponseHead
+from radishshunt.retries import RetryBudget
+from radishshunt.wire.messages import RequestHead
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from radishshunt.clock import Clock
     from radishshunt.directory import Directory, Location
     from radishshunt.dispatch.manager import DispatchManager
@@ -32,8 +40,12 @@
     from radishshunt.wire.messages import Message
 
 RETRY_PAUSE_SECONDS = 0.05
-# Bodies up to this size are kept, so that a request that did not run can be sent again.
-REPLAY_BYTES = 64 * 1024
+# Time for an answer that came right before its deadline.
+MIN_ANSWER_SECONDS = 0.5
+_LOST = "dispatcher-lost"
+_UNREACHABLE = "peer-unavailable"
+# Refusals of this host, which say nothing about earlier attempts.
+_REFUSED_HERE = frozenset({_UNREACHABLE, "no-dispatcher", "group-changed", "deadline"})
 
 
 class Router:
@@ -56,6 +68,7 @@
         self._clock = clock
         self._metrics = metrics
         self._random = random or Random()
+        self._budget = RetryBudget()
         network.register(RequestHead, self._serve_peer)
 
     async def route(self, req: Request) -> Response:
@@ -66,39 +79,65 @@
         """
         if req.service not in self._directory.catalog.services:
             raise NotRun("unknown-service", f"there is no service {req.service}", status=404)
+        self._budget.note_request()
         body = ReplayableBody(req.body)
+        attempted: OutcomeOfRequestUnknown | None = None
+        location: Location | None = None
         while True:
-            location = await self._locate(req)
-            req.body = body.chunks()
             try:
+                location = await self._locate(req, location)
+                # What became of a request whose body is not kept can still be asked.
+                req.query = attempted is not None and not body.replayable
+                req.body = body.start() if req.query else body.chunks()
                 return await self._send(req, location)
             except NotRun as exc:
-                retryable = isinstance(exc, NotOwner) or exc.reason == "peer-unavailable"
-                if not retryable or not body.replayable or self._too_late(req):
+                refused_here = isinstance(exc, NotOwner) or exc.reason in _REFUSED_HERE
+                if not refused_here and not req.idempotent:
+                    # The dispatcher has looked up its records: this holds for all attempts.
                     raise
+                again = isinstance(exc, NotOwner) or exc.reason == _UNREACHABLE
+                if not again or not (body.replayable or req.query) or self._too_late(req):
+                    raise _combined(attempted, exc) from exc
             except OutcomeOfRequestUnknown as exc:
-                if not req.idempotent or not body.replayable or self._too_late(req):
+                if exc.reason != _LOST or self._too_late(req):
                     raise
+                if req.idempotent and not (body.replayable and self._budget.take()):
+                    raise
+                attempted = exc
                 decision(
                     "retry", service=req.service, key_hash=key_hash(req.key), reason=exc.reason
                 )
             await trio.sleep(RETRY_PAUSE_SECONDS)
 
-    async def _locate(self, req: Request) -> Location:
+    async def _locate(self, req: Request, former: Location | None) -> Location:
+        """Return where a request goes.
+
+        :param former: Where it went before; a non-idempotent one stays in its group, because only
+            that group's dispatchers have its record.
+        """
         while True:
             if self._directory.catalog.services[req.service].keyed:
                 location = self._directory.locate(req.service, req.key)
             else:
-                location = self._pick_group(req.service)
+                location = self._pick_group(req, former)
             if location is not None:
+                moved = former is not None and former.group != location.group
+                if moved and not req.idempotent:
+                    raise NotRun("group-changed", "the key has moved to another group")
                 return location
             if self._too_late(req):
                 raise NotRun("no-dispatcher", "no host dispatches the key yet", retry_after=1.0)
             await trio.sleep(RETRY_PAUSE_SECONDS)
 
-    def _pick_group(self, service: str) -> Location | None:
-        groups = list(self._directory.candidates(service))
-        pair = self._random.sample(groups, min(2, len(groups)))
+    def _pick_group(self, req: Request, former: Location | None) -> Location | None:
+        groups = {location.group: location for location in self._directory.candidates(req.service)}
+        if not req.idempotent and former is not None:
+            return groups.get(former.group)
+        if not req.idempotent and req.idempotency_key:
+            # A repetition has to meet the record of the first attempt, at whatever host it enters.
+            names = self._directory.groups_of(req.service)
+            return groups.get(preferred(names, req.idempotency_key)) if names else None
+        pair = self._random.sample(list(groups.values()), min(2, len(groups)))
         return min(pair, key=lambda location: location.dispatcher.load, default=None)
 
     def _too_late(self, req: Request) -> bool:
@@ -133,25 +172,30 @@
     async def _forward(self, req: Request, location: Location) -> Response:
         try:
             conn = await self._network.connection(location.dispatcher.host)
+            stream = await conn.open_stream(head_of(req, location.group))
         except PeerUnavailable as exc:
-            raise NotRun("peer-unavailable", str(exc), retry_after=1.0) from exc
-        try:
-            stream = await conn.open_stream(_head_of(req, location.group))
-        except PeerUnavailable as exc:
-            raise NotRun("peer-unavailable", str(exc), retry_after=1.0) from exc
+            raise NotRun(_UNREACHABLE, str(exc), retry_after=1.0) from exc
+        sender = RequestSender(stream, req.body)
         try:
             with trio.fail_after(max(0.0, req.deadline - self._clock.now())):
-                head = await _exchange(stream, req)
+                head = await sender.exchange()
         except trio.TooSlowError as exc:
             stream.cancel()
+            if not sender.complete:
+                raise NotRun("deadline", "the deadline passed while sending", status=504) from exc
             raise OutcomeOfRequestUnknown("deadline", "no answer before the deadline") from exc
         except (PeerUnavailable, ProtocolError) as exc:
             stream.cancel()
-            raise OutcomeOfRequestUnknown("dispatcher-lost", str(exc)) from exc
+            if not sender.complete:
+                raise NotRun(_UNREACHABLE, str(exc), retry_after=1.0) from exc
+            raise OutcomeOfRequestUnknown(_LOST, str(exc)) from exc
+        except RequestError:
+            stream.finish()
+            raise
         except BaseException:
             stream.cancel()
             raise
-        return Response(head.status, head.headers, _answer_body(stream))
+        return Response(head.status, head.headers, ForwardedAnswer(stream))
 
     async def _serve_peer(self, _conn: PeerConnection, stream: Stream, msg: Message) -> None:
         assert isinstance(msg, RequestHead)
@@ -162,9 +206,10 @@
             method=msg.method,
             path=msg.path,
             headers=msg.headers,
-            body=_request_body(stream),
+            body=request_body(stream),
             deadline=msg.deadline,
             idempotency_key=msg.idempotency_key,
+            query=msg.query,
         )
         try:
             spec = self._directory.catalog.services.get(msg.service)
@@ -173,121 +218,19 @@
             number = slice_of(msg.key, spec.slices) if spec.keyed else None
             group = GroupId(msg.service, msg.group)
             resp = await self._handle_here(req, group, number)
-        except (NotRun, OutcomeOfRequestUnknown) as exc:
-            await stream.send(_failure_of(exc))
+        except RequestError as exc:
+            await stream.send(failure_of(exc))
             return
-        await _send_answer(stream, resp)
+        await send_answer(stream, resp, max(MIN_ANSWER_SECONDS, req.deadline - self._clock.now()))
 
 
-class ReplayableBody:
-    """A request body that can be read again if it is small.
+def _combined(attempted: OutcomeOfRequestUnknown | None, refusal: NotRun) -> RequestError:
+    """Return the error for a request whose last attempt did not run.
 
-    :param source: The body as it arrives.
+    :param attempted: How an earlier attempt that may have run has ended, if there was one.
     """
-
-    def __init__(self, source: AsyncIterator[bytes]) -> None:
-        self._source = source
-        self._kept: list[bytes] = []
-        self._size = 0
-
-    @property
-    def replayable(self) -> bool:
-        """Whether :meth:`chunks` can begin again."""
-        return self._size <= REPLAY_BYTES
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body from its start."""
-        for chunk in list(self._kept):
-            yield chunk
-        async for chunk in self._source:
-            self._size += len(chunk)
-            if self.replayable:
-                self._kept.append(chunk)
-            else:
-                self._kept.clear()
-            yield chunk
-
-
-def _head_of(req: Request, group: GroupId) -> RequestHead:
-    return RequestHead(
-        id=req.id,
-        service=req.service,
-        key=req.key,
-        method=req.method,
-        path=req.path,
-        headers=req.headers,
-        deadline=req.deadline,
-        idempotency_key=req.idempotency_key,
-        group=group.group,
+    if attempted is None:
+        return refusal
+    return OutcomeOfRequestUnknown(
+        attempted.reason, f"{attempted.detail}; then: {refusal.detail}", status=attempted.status
     )
-
-
-def _failure_of(exc: NotRun | OutcomeOfRequestUnknown) -> Failure:
-    outcome = "not-owner" if isinstance(exc, NotOwner) else exc.outcome
-    retry_after = -1.0 if exc.retry_after is None else exc.retry_after
-    return Failure(outcome, exc.reason, exc.detail, exc.status, retry_after)
-
-
-def _error_of(msg: Failure) -> NotRun | OutcomeOfRequestUnknown:
-    if msg.outcome == "unknown":
-        return OutcomeOfRequestUnknown(msg.reason, msg.detail, status=msg.status)
-    cls = NotOwner if msg.outcome == "not-owner" else NotRun
-    retry_after = None if msg.retry_after < 0 else msg.retry_after
-    return cls(msg.reason, msg.detail, status=msg.status, retry_after=retry_after)
-
-
-async def _send_body(stream: Stream, body: AsyncIterator[bytes]) -> None:
-    async for data in body:
-        for start in range(0, len(data), CHUNK_BYTES):
-            await stream.send(Chunk(data[start : start + CHUNK_BYTES]))
-    await stream.send(End())
-
-
-async def _send_answer(stream: Stream, resp: Response) -> None:
-    await stream.send(ResponseHead(resp.status, resp.headers))
-    try:
-        await _send_body(stream, resp.body)
-    except OutcomeOfRequestUnknown as exc:
-        await stream.send(_failure_of(exc))
-    finally:
-        with trio.CancelScope(shield=True):
-            await resp.body.aclose()
-
-
-async def _request_body(stream: Stream) -> AsyncIterator[bytes]:
-    while True:
-        msg = await stream.receive()
-        if isinstance(msg, End):
-            return
-        if not isinstance(msg, Chunk):
-            raise ProtocolError(f"{type(msg).__name__} within a body")
-        yield msg.data
-
-
-async def _exchange(stream: Stream, req: Request) -> ResponseHead:
-    """Send a request and return the head of its answer."""
-    await _send_body(stream, req.body)
-    first = await stream.receive()
-    if isinstance(first, Failure):
-        raise _error_of(first)
-    if not isinstance(first, ResponseHead):
-        raise ProtocolError(f"expected an answer, not {type(first).__name__}")
-    return first
-
-
-async def _answer_body(stream: Stream) -> AsyncIterator[bytes]:
-    try:
-        while True:
-            msg = await stream.receive()
-            if isinstance(msg, End):
-                stream.finish()
-                return
-            if isinstance(msg, Failure):
-                raise _error_of(msg)
-            if not isinstance(msg, Chunk):
-                raise ProtocolError(f"{type(msg).__name__} within a body")
-            yield msg.data
-    except (PeerUnavailable, ProtocolError) as exc:
-        raise OutcomeOfRequestUnknown("answer-cut", str(exc), status=502) from exc
-    finally:
-        stream.cancel()
--- /dev/null
+++ b/tests/support/memory_target.py
@@ -0,0 +1,236 @@
+"""A fake target on memory streams, so that timing follows trio's test clock."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import h11
+import trio
+import trio.testing
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    import pytest
+
+REQUEST_ID = b"radishshunt-request-id"
+
+
+class _Socket:
+    """Stands for the socket of a memory stream where httpcore asks whether it is readable."""
+
+    def is_readable(self) -> bool:
+        return False
+
+
+class _ClientStream(trio.abc.Stream):
+    def __init__(self, inner: trio.abc.Stream, on_close: Callable[[], None]) -> None:
+        self._inner = inner
+        self._on_close: Callable[[], None] | None = on_close
+        self.socket = _Socket()
+
+    @property
+    def __class__(self) -> type:
+        # httpcore asserts that a stream is a SocketStream, which cannot be subclassed.
+        return trio.SocketStream
+
+    def setsockopt(self, *_option: object) -> None:
+        pass
+
+    async def send_all(self, data: bytes) -> None:
+        await self._inner.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        await self._inner.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        return await self._inner.receive_some(max_bytes)
+
+    async def aclose(self) -> None:
+        if self._on_close is not None:
+            self._on_close()
+            self._on_close = None
+        await self._inner.aclose()
+
+
+class Exchange:
+    """One request on a connection of the fake target.
+
+    :ivar headers: Names in lower case.
+    """
+
+    def __init__(self, conn: ServerConnection, request: h11.Request, body: bytes) -> None:
+        self.conn = conn
+        self.method = request.method.decode()
+        self.path = request.target.decode()
+        self.headers = dict(request.headers)
+        self.raw_headers = list(request.headers)
+        self.body = body
+
+    @property
+    def id(self) -> str:
+        return self.headers.get(REQUEST_ID, b"").decode()
+
+    async def answer(
+        self, body: bytes = b"done", status: int = 200, headers: dict[str, str] | None = None
+    ) -> None:
+        """Send a whole answer."""
+        given = {"Radishshunt-Request-Id": self.id, "Content-Length": str(len(body))}
+        given.update(headers or {})
+        lines = "".join(f"{name}: {value}\r\n" for name, value in given.items())
+        await self.raw(f"HTTP/1.1 {status} X\r\n{lines}\r\n".encode() + body)
+
+    async def raw(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        await self.conn.stream.send_all(data)
+
+    async def close(self) -> None:
+        """Break the connection."""
+        await self.conn.stream.aclose()
+
+
+class ServerConnection:
+    """The target's end of a connection."""
+
+    def __init__(self, number: int, stream: trio.abc.Stream) -> None:
+        self.number = number
+        self.stream = stream
+        self.silent = False
+
+
+class MemoryTarget:
+    """Serves HTTP to the connections that ``trio.open_tcp_stream`` opens to its address.
+
+    :ivar work: Serves a request that is no control call.
+    :ivar running: Requests being run, by id; cancelled through their scopes.
+    """
+
+    def __init__(
+        self, nursery: trio.Nursery, monkeypatch: pytest.MonkeyPatch, ip: str = "127.0.0.1"
+    ) -> None:
+        self._nursery = nursery
+        self.work: Callable[[Exchange], Awaitable[None]] = self.run_for_a_moment
+        self.service_seconds = 0.01
+        self.connections: list[ServerConnection] = []
+        self.open = 0
+        self.most_open = 0
+        self.running: dict[str, trio.CancelScope] = {}
+        self.most_running = 0
+        self.seen: list[Exchange] = []
+        self.cancelled: list[str] = []
+        self.incarnation = 1
+        self.granted = True
+        self.refuses = False
+        self.frozen = False
+        self.tells_state = True
+        self.on_connect: Callable[[], None] = lambda: None
+        next_connect = trio.open_tcp_stream
+
+        async def connect(host: str, *args: object, **options: object) -> trio.abc.Stream:
+            if host == ip:
+                return await self._connect()
+            return await next_connect(host, *args, **options)
+
+        monkeypatch.setattr(trio, "open_tcp_stream", connect)
+
+    def silence_open(self) -> None:
+        """Let all connections that are open go silent."""
+        for conn in self.connections:
+            conn.silent = True
+
+    async def run_for_a_moment(self, exchange: Exchange) -> None:
+        """Run a request and answer it; one that is cancelled gets no answer."""
+        with trio.CancelScope() as scope:
+            self.running[exchange.id] = scope
+            self.most_running = max(self.most_running, len(self.running))
+            try:
+                await trio.sleep(self.service_seconds)
+            finally:
+                del self.running[exchange.id]
+            await exchange.answer()
+
+    async def crash(self) -> None:
+        """Break all connections and come back as a new process."""
+        self.incarnation += 1
+        self.granted = False
+        for conn in self.connections:
+            await conn.stream.aclose()
+
+    async def _connect(self) -> _ClientStream:
+        await trio.lowlevel.checkpoint()
+        self.on_connect()
+        if self.refuses:
+            raise OSError("connection refused")
+        client, server = trio.testing.memory_stream_pair()
+        conn = ServerConnection(len(self.connections), server)
+        self.connections.append(conn)
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        self._nursery.start_soon(self._serve, conn)
+        return _ClientStream(client, self._on_close)
+
+    def _on_close(self) -> None:
+        self.open -= 1
+
+    async def _serve(self, conn: ServerConnection) -> None:
+        protocol = h11.Connection(h11.SERVER)
+        try:
+            while (exchange := await self._read(conn, protocol)) is not None:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._handle, exchange)
+                protocol = h11.Connection(h11.SERVER)
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+
+    async def _read(self, conn: ServerConnection, protocol: h11.Connection) -> Exchange | None:
+        request = None
+        body = b""
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                data = await conn.stream.receive_some()
+                if conn.silent:
+                    if not data:
+                        return None
+                    continue
+                protocol.receive_data(data)
+                if not data:
+                    return None
+            elif isinstance(event, h11.Request):
+                request = event
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return Exchange(conn, request, body)
+            else:
+                return None
+
+    async def _handle(self, exchange: Exchange) -> None:
+        if self.frozen or exchange.conn.silent:
+            await trio.sleep_forever()
+        if not exchange.path.startswith("/_target/"):
+            if not self.granted:
+                await exchange.answer(b"", 409, {"Radishshunt-Not-Run": "no-grant"})
+                return
+            self.seen.append(exchange)
+            await self.work(exchange)
+            return
+        name = exchange.path.rpartition("/")[2]
+        if exchange.method == "DELETE":
+            self.cancelled.append(name)
+            scope = self.running.get(name)
+            if scope is not None:
+                scope.cancel()
+            await exchange.answer(b"", 204 if scope else 404)
+        elif exchange.path.startswith("/_target/requests/"):
+            doc = {"running": name in self.running, "incarnation": self.incarnation}
+            await exchange.answer(json.dumps(doc).encode(), 200 if self.tells_state else 404)
+        else:
+            doc = {"incarnation": self.incarnation}
+            status = 200
+            if exchange.path == "/_target/grant":
+                self.granted = json.loads(exchange.body)["incarnation"] == self.incarnation
+                if not self.granted:
+                    status, doc["reason"] = 409, "incarnation"
+            await exchange.answer(json.dumps(doc).encode(), status)
--- /dev/null
+++ b/tests/test_quarantine/test_quarantine_counts.py
@@ -0,0 +1,84 @@
+"""Counts of target losses for each request, and how hosts share them."""
+
+from __future__ import annotations
+
+import pytest
+
+from radishshunt.errors import NotRun
+from radishshunt.quarantine import HEARTBEAT_SUSPECTS, SUSPECT_SECONDS, Quarantine
+
+NOW = 1000.0
+
+
+def test_request_is_refused_after_two_losses() -> None:
+    """Guards against a request that goes on to crash one target after the other."""
+    quarantine = Quarantine()
+    quarantine.note_death(1, "", 101, NOW)
+    quarantine.check(1, "", NOW)
+    quarantine.note_death(1, "", 102, NOW)
+    with pytest.raises(NotRun):
+        quarantine.check(1, "", NOW)
+    quarantine.check(2, "", NOW)
+
+
+def test_same_loss_counts_once() -> None:
+    """Guards against two reports of one loss that quarantine a request."""
+    quarantine = Quarantine()
+    quarantine.note_death(1, "", 101, NOW)
+    quarantine.note_death(1, "", 101, NOW)
+    assert quarantine.deaths(1, "", NOW) == 1
+
+
+def test_idempotency_key_counts_over_other_fingerprints() -> None:
+    """Guards against a caller whose body changes with each attempt, for example by a date."""
+    quarantine = Quarantine()
+    quarantine.note_death(1, "fee", 101, NOW)
+    quarantine.note_death(2, "fee", 102, NOW)
+    with pytest.raises(NotRun):
+        quarantine.check(3, "fee", NOW)
+    quarantine.check(3, "", NOW)
+
+
+def test_losses_seen_by_two_hosts_add_up_on_every_host() -> None:
+    """Guards against one more crash for each host that the request enters at."""
+    hosts = [Quarantine() for _ in range(3)]
+    hosts[0].note_death(1, "fee", 101, NOW)
+    hosts[1].note_death(1, "fee", 102, NOW)
+    for _ in range(2):
+        for one in hosts:
+            for other in hosts:
+                one.merge(other.suspects(NOW), NOW)
+    for host in hosts:
+        assert host.deaths(1, "fee", NOW) == 2
+
+
+def test_suspects_expire_everywhere() -> None:
+    """Guards against hosts that keep a suspect alive by sending it to each other."""
+    one, two = Quarantine(), Quarantine()
+    one.note_death(1, "", 101, NOW)
+    for step in range(1, 20):
+        now = NOW + step * SUSPECT_SECONDS / 10
+        one.merge(two.suspects(now), now)
+        two.merge(one.suspects(now), now)
+    assert len(one) == len(two) == 0
+
+
+def test_expiry_of_a_peer_is_bounded() -> None:
+    """Guards against a suspect that a peer with a wrong clock keeps for ever."""
+    one, two = Quarantine(), Quarantine()
+    one.note_death(1, "", 101, NOW + 1e6)
+    two.merge(one.suspects(NOW + 1e6), NOW)
+    assert two.deaths(1, "", NOW) == 1
+    assert two.deaths(1, "", NOW + SUSPECT_SECONDS) == 0
+
+
+def test_memory_is_bounded_and_recent_suspects_stay() -> None:
+    """Guards against a flood of suspects that fills the memory or heartbeats."""
+    quarantine = Quarantine(max_suspects=100)
+    for number in range(1000):
+        quarantine.note_death(number, f"k{number}", number, NOW)
+    assert len(quarantine) == 100
+    assert quarantine.deaths(999, "", NOW) == 1
+    assert quarantine.deaths(0, "k0", NOW) == 0
+    suspects = quarantine.suspects(NOW)
+    assert [s.fingerprint for s in suspects] == list(range(1000 - HEARTBEAT_SUSPECTS, 1000))
