--- /dev/null
+++ b/tests/test_router/test_router_dispatcher_loss.py
@@ -0,0 +1,316 @@
+"""What an entry host makes of the loss of a dispatcher."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+from radishshunt.clock import SystemClock
+from radishshunt.directory import Directory
+from radishshunt.errors import NotOwner, NotRun, OutcomeOfRequestUnknown, ProtocolError
+from radishshunt.forwarding import ReplayableBody
+from radishshunt.metrics import Metrics
+from radishshunt.model import (
+    GroupId,
+    GroupRow,
+    HostInfo,
+    HostRef,
+    Request,
+    Response,
+    SliceAssignment,
+    body_of,
+    read_body,
+)
+from radishshunt.peers import PeerNetwork
+from radishshunt.release.catalog import Catalog, ServiceSpec
+from radishshunt.router import Router
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+NET = int(os.environ.get("RADISHSHUNT_TEST_NET", "60")) + 1
+GROUP = GroupId("permits", 0)
+
+
+class FakeDispatcher:
+    """Dispatches a group: notes each request and answers it with a text.
+
+    :ivar errors: Raised one after the other instead of answers.
+    """
+
+    def __init__(self) -> None:
+        self.seen: list[tuple[Request, bytes]] = []
+        self.errors: list[Exception] = []
+        self.hold = trio.Event()
+        self.hold.set()
+        self.reads_body = True
+
+    async def handle(self, req: Request, _slice: int | None) -> Response:
+        body = await read_body(req.body, 1 << 24) if self.reads_body else b""
+        self.seen.append((req, body))
+        await self.hold.wait()
+        if self.errors:
+            raise self.errors.pop(0)
+        return Response(200, [], body_of(b"answer"))
+
+
+class FakeDispatch:
+    """Stands for the dispatch manager of a host."""
+
+    def __init__(self) -> None:
+        self.dispatcher = FakeDispatcher()
+        self.groups = {GROUP: self.dispatcher}
+
+
+class FakeHost:
+    """A router with its network and a fake dispatcher."""
+
+    def __init__(self, number: int) -> None:
+        address = f"127.{NET}.8.{number}:8082"
+        self.info = HostInfo(f"host-{number:02d}", "akl-a", address, incarnation=number)
+        self.network = PeerNetwork(self.info, address)
+        self.directory = Directory()
+        self.directory.update_catalog(
+            Catalog(version=1, services={"permits": ServiceSpec("permits", True, slices=1)})
+        )
+        self.dispatch = FakeDispatch()
+        self.router = Router(
+            self.info.host,
+            self.directory,
+            self.dispatch,
+            self.network,
+            SystemClock(),
+            Metrics(),
+        )
+
+
+class Cluster:
+    """An entry host and two hosts that can dispatch."""
+
+    def __init__(self) -> None:
+        self.hosts = [FakeHost(number) for number in (1, 2, 3)]
+        self.entry, self.first, self.second = self.hosts
+        self.generation = 0
+        self.scopes: dict[str, trio.CancelScope] = {}
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        for host in self.hosts:
+            host.network.update_hosts([other.info for other in self.hosts])
+            await nursery.start(self._run, host)
+        self.name_dispatcher(self.first)
+
+    async def _run(self, host: FakeHost, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        with trio.CancelScope() as scope:
+            self.scopes[host.info.host] = scope
+            await host.network.run(task_status=task_status)
+
+    def name_dispatcher(self, host: FakeHost) -> None:
+        """Let all hosts know who dispatches the group."""
+        self.generation += 2
+        ref = HostRef(host.info.host, host.info.incarnation)
+        row = GroupRow(GROUP, self.generation, ref, None, ("t",), {0: SliceAssignment("t", None)})
+        for each in self.hosts:
+            each.directory.update_row(row)
+
+    def kill(self, host: FakeHost) -> None:
+        """End a host's connections and its listener."""
+        self.scopes[host.info.host].cancel()
+
+    async def send(self, method: str = "POST", body: bytes = b"fee", seconds: float = 3.0) -> bytes:
+        """Send a request at the entry host."""
+        return await self.send_body(body_of(body), method, seconds)
+
+    async def send_body(
+        self, body: AsyncIterator[bytes], method: str = "POST", seconds: float = 3.0
+    ) -> bytes:
+        """Send a request whose body comes bit by bit."""
+        now = SystemClock().now()
+        req = Request("id-1", "permits", "kauri", method, "/", [], body, now + seconds, "fee-1")
+        resp = await self.entry.router.route(req)
+        return await read_body(resp.body, 1 << 20)
+
+
+@pytest.fixture
+async def cluster():
+    async with trio.open_nursery() as nursery:
+        system = Cluster()
+        await system.start(nursery)
+        yield system
+        nursery.cancel_scope.cancel()
+
+
+async def lose_while_running(cluster: Cluster, **options) -> bytes:
+    """Kill the first dispatcher while it runs a request, then name the second."""
+    first = cluster.first.dispatch.dispatcher
+    first.hold = trio.Event()
+    result: list[bytes] = []
+    errors: list[Exception] = []
+
+    async def send() -> None:
+        try:
+            result.append(await cluster.send(**options))
+        except (NotRun, OutcomeOfRequestUnknown) as exc:
+            errors.append(exc)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send)
+        while not first.seen:
+            await trio.sleep(0.01)
+        cluster.kill(cluster.first)
+        await trio.sleep(0.3)
+        cluster.name_dispatcher(cluster.second)
+    if errors:
+        raise errors[0]
+    return result[0]
+
+
+@pytest.mark.parametrize("method", ["POST", "GET"])
+async def test_new_dispatcher_is_asked_under_the_same_key(cluster: Cluster, method: str) -> None:
+    """Guards against ``unknown`` where the new dispatcher knows the answer."""
+    assert await lose_while_running(cluster, method=method) == b"answer"
+    asked, body = cluster.second.dispatch.dispatcher.seen[0]
+    assert (asked.id, asked.idempotency_key, asked.query) == ("id-1", "fee-1", False)
+    assert body == b"fee"
+
+
+async def test_long_request_is_asked_for_without_its_body(cluster: Cluster) -> None:
+    """Guards against running a request again with the part of its body that was kept."""
+    body = bytes(range(256)) * 1000
+    assert await lose_while_running(cluster, body=body) == b"answer"
+    asked, sent = cluster.second.dispatch.dispatcher.seen[0]
+    assert asked.query
+    assert sent[:65536] == body[:65536]
+
+
+async def test_long_idempotent_request_is_not_sent_with_a_part_of_its_body(
+    cluster: Cluster,
+) -> None:
+    """Guards against a PUT that stores the part of a body that was kept."""
+    with pytest.raises(OutcomeOfRequestUnknown):
+        await lose_while_running(cluster, method="PUT", body=b"x" * 200_000, seconds=1.0)
+    assert cluster.second.dispatch.dispatcher.seen == []
+
+
+async def test_refusal_of_the_new_dispatcher_holds(cluster: Cluster) -> None:
+    """Guards against ``unknown`` for a request that the records say was never sent."""
+    cluster.second.dispatch.dispatcher.errors = [NotRun("not-sent", "never sent")]
+    with pytest.raises(NotRun) as info:
+        await lose_while_running(cluster)
+    assert info.value.reason == "not-sent"
+
+
+async def test_refusal_of_an_idempotent_request_says_nothing_of_the_lost_attempt(
+    cluster: Cluster,
+) -> None:
+    """Guards against a false ``not-run``: idempotent requests have no records."""
+    cluster.second.dispatch.dispatcher.errors = [NotRun("queue-full", "full")]
+    with pytest.raises(OutcomeOfRequestUnknown):
+        await lose_while_running(cluster, method="GET")
+
+
+async def test_outcome_is_unknown_if_nobody_can_be_asked(cluster: Cluster) -> None:
+    """Guards against a false ``not-run`` because the entry host could not connect any more."""
+    first = cluster.first.dispatch.dispatcher
+    first.hold = trio.Event()
+
+    async def lose() -> None:
+        while not first.seen:
+            await trio.sleep(0.01)
+        cluster.kill(cluster.first)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(lose)
+        with pytest.raises(OutcomeOfRequestUnknown):
+            await cluster.send(seconds=0.8)
+
+
+async def test_request_that_never_reached_a_dispatcher_is_not_run(cluster: Cluster) -> None:
+    """Guards against ``unknown`` for a request that cannot have run."""
+    cluster.kill(cluster.first)
+    await trio.sleep(0.05)
+    with pytest.raises(NotRun):
+        await cluster.send(seconds=0.5)
+
+
+async def test_request_whose_body_was_not_whole_is_not_run(cluster: Cluster) -> None:
+    """Guards against ``unknown`` for a request of which the dispatcher had a part only."""
+
+    async def slow_body() -> AsyncIterator[bytes]:
+        yield b"fe"
+        await trio.sleep(0.2)
+        cluster.kill(cluster.first)
+        await trio.sleep(0.2)
+        yield b"e"
+
+    with pytest.raises(NotRun):
+        await cluster.send_body(slow_body(), seconds=1.0)
+
+
+async def test_request_whose_body_is_too_slow_is_not_run(cluster: Cluster) -> None:
+    """Guards against ``unknown`` for a caller that did not send its body in time."""
+
+    async def slow_body() -> AsyncIterator[bytes]:
+        yield b"fe"
+        await trio.sleep_forever()
+
+    with pytest.raises(NotRun):
+        await cluster.send_body(slow_body(), seconds=0.5)
+
+
+async def test_early_refusal_of_a_long_body_is_seen_at_once(cluster: Cluster) -> None:
+    """Guards against sending into a window that nobody empties until the deadline."""
+    first = cluster.first.dispatch.dispatcher
+    first.reads_body = False
+    first.errors = [NotRun("queue-full", "full")]
+    with trio.fail_after(2), pytest.raises(NotRun):
+        await cluster.send(body=b"x" * 2_000_000, seconds=10.0)
+
+
+async def test_request_follows_a_dispatcher_that_refuses_as_not_the_owner(
+    cluster: Cluster,
+) -> None:
+    """Guards against an error for a request that met the former dispatcher."""
+    cluster.first.dispatch.dispatcher.errors = [NotOwner("not-dispatcher", "deposed")] * 3
+    assert await cluster.send() == b"answer"
+    assert len(cluster.first.dispatch.dispatcher.seen) == 4
+
+
+async def test_interrupted_body_is_never_read_as_a_whole_one() -> None:
+    """Guards against a generator that seems to end normally after its interruption."""
+
+    async def source() -> AsyncIterator[bytes]:
+        yield b"one"
+        await trio.sleep_forever()
+
+    body = ReplayableBody(source())
+    with trio.move_on_after(0.05):
+        async for _ in body.chunks():
+            pass
+    assert not body.replayable
+    with pytest.raises(ProtocolError):
+        async for _ in body.chunks():
+            pass
+
+
+async def test_request_is_replayed_from_its_start() -> None:
+    """Guards against a second attempt that lacks what the first has read."""
+
+    async def source() -> AsyncIterator[bytes]:
+        for chunk in (b"one", b"two", b"three"):
+            yield chunk
+
+    body = ReplayableBody(source())
+    async for _ in body.chunks():
+        break
+    assert b"".join([chunk async for chunk in body.chunks()]) == b"onetwothree"
+    assert b"".join([chunk async for chunk in body.chunks()]) == b"onetwothree"
+
+
+def test_request_is_copied_with_its_query_flag() -> None:
+    """Guards against a query that becomes a run when a request is copied."""
+    req = Request("i", "s", "k", "POST", "/", [], body_of(b""), 0.0, "", True)
+    assert replace(req).query
