--- a/radishshunt/ownership.py
+++ b/radishshunt/ownership.py
@@ -2,77 +2,37 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from radishshunt.clock import CLOCK_SKEW_BOUND
+from radishshunt.ownership_state import (
+    LOST_AFTER_SECONDS,
+    Bundle,
+    Fence,
+    Grant,
+    Serving,
+    TargetState,
+    build_bundles,
+    epoch_of,
+    proved,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from radishshunt.model import GroupRow
 
 RENEW_INTERVAL_SECONDS = 0.3
 RETRY_INTERVAL_SECONDS = 0.1
-# Renewals that fail for this long make the target count as lost.
-LOST_AFTER_SECONDS = 0.45
-
-
-@dataclass(frozen=True, slots=True)
-class Fence:
-    """Command: fence a target at a generation."""
-
-    target: str
-    generation: int
-
-
-@dataclass(frozen=True, slots=True)
-class Grant:
-    """Command: grant slices to a target, or renew its grant.
-
-    :param incarnation: Run of the target that acknowledged the fence.
-    :param steps: Step of each granted slice, 0 as owner and 1 as former standby.
-    :param deadline: Seconds since the Unix epoch.
-    """
-
-    target: str
-    generation: int
-    incarnation: int
-    steps: dict[int, int]
-    deadline: float
-
-
-@dataclass(slots=True)
-class _TargetState:
-    fenced: bool = False
-    lost: bool = False
-    incarnation: int = 0
-    held_standby: frozenset[int] = frozenset()
-    sent_deadline: float = 0.0
-    acked_deadline: float = 0.0
-    acked_steps: dict[int, int] = field(default_factory=dict)
-    failing_since: float = 0.0
-    next_command_at: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class Serving:
-    """Who serves a slice.
-
-    :param deadline: End of the target's grant less the skew bound, seconds since the epoch.
-    """
-
-    target: str
-    epoch: int
-    deadline: float
-
-
-def epoch_of(generation: int, step: int) -> int:
-    """Return the epoch of a step within a generation."""
-    return generation * 2 + step
 
 
 class GroupOwnership:
     """State of a group's grants under one generation.
 
+    Slices are handled in bundles, so that a tick costs as much as the group has pairs of targets,
+    not as much as it has slices.
+
     :param row: Row that names owners and standbys.
     :param generation: The row's generation, or one more for the standby dispatcher.
     :param grant_seconds: Length of a grant.
@@ -82,12 +42,26 @@
         self.row = row
         self.generation = generation
         self._grant_seconds = grant_seconds
+        self._sequence = 0
+        self._rivals_end: float | None = None
+        self._rivals_end_of: Mapping[str, float] = {}
+        self._bundles = build_bundles(row)
+        self._bundle_of = {number: b for b in self._bundles for number in b.slices}
         names = set(row.targets) | set(row.unfenced)
-        for pair in row.slices.values():
-            names.update(name for name in (pair.owner, pair.standby) if name)
-        self._targets = {name: _TargetState() for name in sorted(names)}
-        self._steps: dict[int, int] = {}
-        self._unfenced = {name: frozenset(numbers) for name, numbers in row.unfenced.items()}
+        for bundle in self._bundles:
+            names |= bundle.names
+        names.discard("")
+        self._targets = {name: TargetState() for name in sorted(names)}
+        self._bundles_of: dict[str, list[Bundle]] = defaultdict(list)
+        for bundle in self._bundles:
+            self._index(bundle)
+        # Slices with requests that still run under lower epochs elsewhere, and until when.
+        self._held_back: dict[int, float] = {}
+
+    @property
+    def taken_over(self) -> bool:
+        """Whether this is the standby dispatcher's generation."""
+        return self.generation > self.row.generation
 
     def commands(self, now: float) -> list[Fence | Grant]:
         """Return the commands that are due; each counts as sent.
@@ -97,40 +71,72 @@
         self._advance(now)
         due: list[Fence | Grant] = []
         for name, state in self._targets.items():
-            if now < state.next_command_at or state.lost:
+            if now < state.next_command_at:
                 continue
-            if not state.fenced:
+            if self._wants_fence(name, state):
                 state.next_command_at = now + RETRY_INTERVAL_SECONDS
-                due.append(Fence(name, self.generation))
-            elif name in self.row.targets:
-                steps = self._steps_of(name)
-                if steps or not self.row.slices:
-                    state.next_command_at = now + RENEW_INTERVAL_SECONDS
-                    deadline = now + self._grant_seconds
-                    state.sent_deadline = max(state.sent_deadline, deadline)
-                    due.append(Grant(name, self.generation, state.incarnation, steps, deadline))
+                due.append(self._fence(name))
+            else:
+                state.next_command_at = now + RENEW_INTERVAL_SECONDS
+                if name in self.row.targets:
+                    due.append(self._renewal(name, state, now))
         return due
 
+    def next_command_at(self) -> float:
+        """Return when the next command may be due, in seconds since the Unix epoch."""
+        times = [state.next_command_at for state in self._targets.values()]
+        times += self._held_back.values()
+        if self._rivals_end is not None and any(b.step is None for b in self._bundles):
+            times.append(self._rivals_end + CLOCK_SKEW_BOUND)
+        for bundle in self._bundles:
+            if bundle.step == 0 and bundle.standby and self._targets[bundle.owner].failing_since:
+                since = self._targets[bundle.owner].failing_since
+                lapse = bundle.sent_deadline + CLOCK_SKEW_BOUND
+                times.append(max(since + LOST_AFTER_SECONDS, lapse))
+        return min(times, default=0.0)
+
     def on_fenced(
-        self, target: str, incarnation: int, held_standby: frozenset[int], now: float
+        self,
+        command: Fence,
+        incarnation: int,
+        held_standby: frozenset[int],
+        busy: Mapping[int, float],
+        now: float,
     ) -> None:
         """Take a target's acknowledgement of a fence.
 
-        :param held_standby: Slices for which the target has held a step-1 grant.
+        :param held_standby: Slices for which the target has held a step-1 grant of this row.
+        :param busy: Latest deadline of requests running under lower epochs, by slice.
         """
-        state = self._targets[target]
-        state.fenced = True
-        state.incarnation = incarnation
+        state = self._targets[command.target]
+        if incarnation != state.incarnation or not state.fenced:
+            if command.sequence < state.first_ack:
+                return  # A late answer from before the present incarnation.
+            self._rebind(state, incarnation)
+        state.last_sent = max(state.last_sent, command.sequence)
         state.held_standby = held_standby
+        if not state.granted:
+            state.busy = dict(busy)
         state.failing_since = 0.0
-        state.next_command_at = now
+        state.next_command_at = min(state.next_command_at, now + RENEW_INTERVAL_SECONDS)
+        self._note_pairs(command.target)
+        for bundle in self._bundles_of[command.target]:
+            if bundle.step is None:
+                # Each acknowledgement can complete the proof for the other targets.
+                for name in bundle.names:
+                    self._targets[name].next_command_at = now
 
     def on_granted(self, command: Grant, now: float) -> None:
         """Take a target's acknowledgement of a grant."""
         state = self._targets[command.target]
+        if command.incarnation != state.incarnation:
+            return
         state.failing_since = 0.0
-        state.acked_deadline = max(state.acked_deadline, command.deadline)
-        state.acked_steps = dict(command.steps)
+        state.last_sent = max(state.last_sent, command.sequence)
+        if command.deadline >= state.acked_deadline:
+            state.acked_deadline = command.deadline
+            state.acked_steps = command.steps
+        self._note_pairs(command.target)
 
     def on_failure(self, target: str, now: float) -> None:
         """Take the news that a command got no answer."""
@@ -138,101 +144,275 @@
         state.failing_since = state.failing_since or now
         state.next_command_at = min(state.next_command_at, now + RETRY_INTERVAL_SECONDS)
 
-    def on_restarted(self, target: str) -> None:
+    def on_restarted(self, command: Fence | Grant, incarnation: int, now: float) -> None:
         """Take the news that a target runs under a new incarnation."""
-        state = self._targets[target]
-        if state.sent_deadline:
-            state.lost = True
-        else:
-            state.fenced = False
+        state = self._targets[command.target]
+        if incarnation != state.incarnation and command.sequence >= state.first_ack:
+            self._rebind(state, incarnation)
+            # The new incarnation has rejected a grant, but has acknowledged no fence yet.
+            state.first_ack = 0
+            state.failing_since = 0.0
+            state.next_command_at = now
+
+    def on_rivals_stopped(
+        self, latest_deadline: float, deadline_of: Mapping[str, float] | None = None
+    ) -> None:
+        """Take the news that no other host grants under a lower generation any more.
+
+        :param latest_deadline: End of the last grant that another host may have issued, seconds
+            since the Unix epoch.
+        :param deadline_of: The same for single targets; 0 if one never had a grant.
+        """
+        self._rivals_end = max(latest_deadline, self._rivals_end or 0.0)
+        self._rivals_end_of = deadline_of or {}
 
     def serving(self, number: int | None, now: float) -> Serving | None:
         """Return who may serve a slice now, or ``None`` if nobody holds a valid grant."""
-        step = self._steps.get(number) if number is not None else None
-        if number is None or step is None:
+        bundle = self._bundle_of.get(number) if number is not None else None
+        if bundle is None or bundle.server is None:
+            return None
+        state = self._targets[bundle.server]
+        granted = state.acked_steps.get(number) == bundle.step
+        if not granted or not bundle.may_grant(bundle.server, state.incarnation):
             return None
-        pair = self.row.slices[number]
-        name = pair.owner if step == 0 else pair.standby
-        return self._serving_target(name, step, number, now) if name else None
+        return self._serving_target(bundle.server, bundle.step, now)
 
     def serving_any(self, target: str, now: float) -> Serving | None:
         """Return the grant of a target of a service without keys."""
-        return self._serving_target(target, 0, None, now)
+        return self._serving_target(target, 0, now) if target in self._targets else None
 
-    def lost_targets(self) -> set[str]:
-        """Return the targets that count as lost under this generation."""
-        return {name for name, state in self._targets.items() if state.lost}
+    def lost_targets(self, now: float) -> set[str]:
+        """Return the targets that do not answer."""
+        return {name for name, state in self._targets.items() if state.failed(now)}
 
-    def unsettled(self) -> dict[str, tuple[int, ...]]:
+    def moved_slices(self) -> frozenset[int]:
+        """Return the slices that the standby serves."""
+        return frozenset(n for b in self._bundles if b.step == 1 for n in b.slices)
+
+    def stranded_slices(self, now: float) -> frozenset[int]:
+        """Return the slices that no target can serve again under this generation."""
+        return frozenset(n for b in self._bundles if self._stranded(b, now) for n in b.slices)
+
+    def latest_deadlines(self) -> dict[str, float]:
+        """Return the end of the last grant sent to each target, 0 for none."""
+        return {name: state.sent_deadline for name, state in self._targets.items()}
+
+    def unsettled(self, now: float, *, rivals_stopped: bool) -> dict[str, tuple[int, ...]]:
         """Return the targets that a following generation has to fence, with their slices.
 
-        A slice's former owner is settled once its standby has acknowledged a step-1 grant.
+        :param rivals_stopped: Whether the standby dispatcher has confirmed that it does not use
+            its generation of the row. A dispatcher that has taken over needs no confirmation: the
+            fences before its first grant of a slice ended the former dispatcher's grants.
         """
-        pending: dict[str, set[int]] = {}
-        for name, numbers in self._unfenced.items():
-            if not self._targets[name].fenced:
-                pending.setdefault(name, set()).update(numbers)
-        for number, pair in self.row.slices.items():
-            standby = self._targets[pair.standby] if pair.standby else None
-            if pair.standby:
-                pending.setdefault(pair.standby, set()).add(number)
-            if standby is None or standby.acked_steps.get(number) != 1:
-                pending.setdefault(pair.owner, set()).add(number)
-        return {name: tuple(sorted(numbers)) for name, numbers in pending.items()}
-
-    def _serving_target(
-        self, name: str, step: int, number: int | None, now: float
-    ) -> Serving | None:
-        state = self._targets[name]
-        deadline = state.acked_deadline - CLOCK_SKEW_BOUND
-        if state.lost or deadline <= now:
-            return None
-        if number is not None and state.acked_steps.get(number) != step:
+        pending: dict[str, set[int]] = defaultdict(set)
+        for bundle in self._bundles:
+            names = self._unsettled_names(bundle, now, rivals_stopped)
+            self._bar(bundle, bundle.names - names)
+            for name in names:
+                pending[name] |= bundle.slices
+        return {name: tuple(sorted(numbers)) for name, numbers in sorted(pending.items())}
+
+    def lift_bars(self) -> None:
+        """Take the news that the row for which :meth:`unsettled` was asked is not written."""
+        for bundle in self._bundles:
+            self._bar(bundle, set())
+
+    def _bar(self, bundle: Bundle, names: set[str]) -> None:
+        bundle.barred = frozenset(names)
+        for name in bundle.names:
+            self._targets[name].steps = None
+
+    def _unsettled_names(self, bundle: Bundle, now: float, rivals_stopped: bool) -> set[str]:
+        if bundle.step is None:
+            if self.taken_over or not rivals_stopped:
+                return {n for n in bundle.names if not self._rivals_ended(n, now)}
+            return {n for n in bundle.former if not self._rivals_ended(n, now)}
+        if not self.taken_over and not rivals_stopped:
+            return bundle.names - (bundle.former - {bundle.owner, bundle.standby})
+        names = set()
+        server = bundle.server
+        held = self._targets[server].incarnation == bundle.bound[server]
+        if held and now <= bundle.sent_deadline + CLOCK_SKEW_BOUND:
+            names.add(server)
+        if bundle.step == 0 and self._standby_usable(bundle, now):
+            names.add(bundle.standby)
+        return names
+
+    def _index(self, bundle: Bundle) -> None:
+        for name in bundle.names:
+            self._bundles_of[name].append(bundle)
+
+    def _rebind(self, state: TargetState, incarnation: int) -> None:
+        self._sequence += 1
+        state.rebind(incarnation, self._sequence)
+
+    def _fence(self, name: str) -> Fence:
+        numbers = sorted(n for b in self._bundles_of[name] for n in b.slices)
+        self._sequence += 1
+        return Fence(name, self.generation, tuple(numbers), self._sequence)
+
+    def _renewal(self, name: str, state: TargetState, now: float) -> Fence | Grant:
+        steps = self._steps_of(name, state, now)
+        if not steps and self.row.slices:
+            # Targets without slices are asked for signs of life, so that a loss is noticed.
+            return self._fence(name)
+        deadline = now + self._grant_seconds
+        state.sent_deadline = max(state.sent_deadline, deadline)
+        state.granted = True
+        for bundle in self._bundles_of[name]:
+            if bundle.may_grant(name, state.incarnation):
+                bundle.sent_deadline = max(bundle.sent_deadline, deadline)
+        self._sequence += 1
+        return Grant(name, self.generation, state.incarnation, steps, deadline, self._sequence)
+
+    def _steps_of(self, name: str, state: TargetState, now: float) -> Mapping[int, int]:
+        """Return the slices to grant, none if the target is being replaced by standbys."""
+        if state.failed(now) and any(
+            b.step == 0 and b.owner == name and self._standby_usable(b, now)
+            for b in self._bundles_of[name]
+        ):
+            return {}
+        if state.steps is None:
+            state.steps = {
+                number: bundle.step
+                for bundle in self._bundles_of[name]
+                if bundle.may_grant(name, state.incarnation)
+                for number in bundle.slices
+                if number not in self._held_back
+            }
+        return state.steps
+
+    def _serving_target(self, name: str, step: int, now: float) -> Serving | None:
+        deadline = self._targets[name].acked_deadline - CLOCK_SKEW_BOUND
+        if deadline <= now:
             return None
         return Serving(name, epoch_of(self.generation, step), deadline)
 
-    def _steps_of(self, target: str) -> dict[int, int]:
-        steps = {}
-        for number, step in self._steps.items():
-            pair = self.row.slices[number]
-            if target == (pair.owner if step == 0 else pair.standby):
-                steps[number] = step
-        return steps
+    def _stranded(self, bundle: Bundle, now: float) -> bool:
+        if bundle.server is None:
+            return any(self._targets[name].failed(now) for name in bundle.names)
+        state = self._targets[bundle.server]
+        gone = bundle.bound[bundle.server] != state.incarnation or state.failed(now)
+        return gone and (bundle.step == 1 or not self._standby_usable(bundle, now))
+
+    def _proved(self, names: set[str]) -> bool:
+        return proved([self._targets[name] for name in names])
+
+    def _wants_fence(self, name: str, state: TargetState) -> bool:
+        if not state.fenced:
+            pending = any(bundle.step is None for bundle in self._bundles_of[name])
+            return pending or name in self.row.targets
+        return self._wants_confirmation(name, state)
+
+    def _wants_confirmation(self, name: str, state: TargetState) -> bool:
+        for bundle in self._bundles_of[name]:
+            if bundle.step == 1 or (bundle.step == 0 and name == bundle.owner):
+                continue
+            peers = (self._targets[other] for other in bundle.names - {name})
+            if any(peer.fenced and state.last_sent < peer.first_ack for peer in peers):
+                return True
+        return False
+
+    def _note_pairs(self, target: str) -> None:
+        for bundle in self._bundles_of[target]:
+            if bundle.step != 0 or not bundle.standby:
+                continue
+            owner = self._targets[bundle.owner]
+            paired = self._proved({bundle.owner, bundle.standby})
+            if paired and owner.incarnation == bundle.bound[bundle.owner]:
+                bundle.standby_bound = self._targets[bundle.standby].incarnation
+
+    def _rivals_ended(self, name: str, now: float) -> bool:
+        """Return whether all grants of other hosts under lower generations have expired."""
+        if self._rivals_end is None:
+            return False
+        return now > self._rivals_end_of.get(name, self._rivals_end) + CLOCK_SKEW_BOUND
 
     def _advance(self, now: float) -> None:
-        for state in self._targets.values():
-            failing = state.failing_since and now - state.failing_since > LOST_AFTER_SECONDS
-            if failing:
-                state.lost = True
-        for number, pair in self.row.slices.items():
-            step = self._steps.get(number)
-            if step is None:
-                self._begin(number, now)
-            elif step == 0 and pair.standby and self._lapsed(pair.owner, now):
-                standby = self._targets[pair.standby]
-                if standby.fenced and not standby.lost:
-                    self._steps[number] = 1
-                    standby.next_command_at = now
-
-    def _begin(self, number: int, now: float) -> None:
-        pair = self.row.slices[number]
-        owner = self._targets[pair.owner]
-        if not all(
-            self._targets[name].fenced for name, held in self._unfenced.items() if number in held
-        ):
+        for number in [n for n, until in self._held_back.items() if now > until]:
+            del self._held_back[number]
+            self._set_due(self._bundle_of[number].server, now)
+        for bundle in list(self._bundles):
+            if bundle.step is None:
+                self._begin(bundle, now)
+            elif bundle.step == 0 and self._follows(bundle, now):
+                self._serve_from(bundle, 1, now)
+
+    def _begin(self, bundle: Bundle, now: float) -> None:
+        rest = self._split_held(bundle, now) if self.taken_over else bundle
+        if rest is None or bundle.owner not in self._targets:
             return
-        standby = self._targets[pair.standby] if pair.standby else None
-        if self.generation > self.row.generation:
-            if standby is not None and not standby.fenced:
-                return
-            if standby is not None and number in standby.held_standby:
-                self._steps[number] = 1
-                standby.next_command_at = now
-                return
-        if owner.fenced:
-            self._steps[number] = 0
-            owner.next_command_at = now
-
-    def _lapsed(self, target: str, now: float) -> bool:
-        state = self._targets[target]
-        return state.lost and now > state.sent_deadline + CLOCK_SKEW_BOUND
+        needed = self._needed(rest, now)
+        owner = self._targets[rest.owner]
+        if rest.owner in rest.barred or not self._proved(needed):
+            return
+        if owner.fenced and not owner.failed(now):
+            self._serve_from(rest, 0, now)
+        elif rest.owner not in needed and rest.standby:
+            standby = self._targets[rest.standby]
+            if standby.fenced and not standby.failed(now) and owner.failed(now):
+                self._serve_from(rest, 1, now)
+
+    def _needed(self, bundle: Bundle, now: float) -> set[str]:
+        """Return the targets that have to be fenced before the first grant.
+
+        Expired grants need no fence. But the dispatcher that the row names always fences owner
+        and standby, since the standby dispatcher may already use its own generation.
+        """
+        names = {n for n in bundle.names if not self._rivals_ended(n, now)}
+        return names if self.taken_over else names | (bundle.names - bundle.former)
+
+    def _split_held(self, bundle: Bundle, now: float) -> Bundle | None:
+        """Serve the slices for which the standby has held a step-1 grant from the standby.
+
+        That grant proves that the owner's grants have expired.
+
+        :return: The bundle of the other slices, if any.
+        """
+        standby = self._targets[bundle.standby] if bundle.standby else None
+        held = bundle.slices & standby.held_standby if standby and standby.fenced else set()
+        if not held or bundle.standby in bundle.barred:
+            return bundle
+        rest = bundle.slices - held
+        bundle.slices = held
+        self._serve_from(bundle, 1, now)
+        if not rest:
+            return None
+        other = Bundle(bundle.owner, bundle.standby, bundle.former, rest)
+        self._bundles.append(other)
+        self._bundle_of.update(dict.fromkeys(rest, other))
+        self._index(other)
+        return other
+
+    def _serve_from(self, bundle: Bundle, step: int, now: float) -> None:
+        bundle.serve_from(step, self._targets)
+        for name in bundle.names - {bundle.server}:
+            for number, until in self._targets[name].busy.items():
+                latest = max(until + CLOCK_SKEW_BOUND, self._held_back.get(number, 0.0))
+                if number in bundle.slices and latest > now:
+                    self._held_back[number] = latest
+        self._targets[bundle.owner].steps = None
+        self._set_due(bundle.server, now)
+
+    def _set_due(self, name: str | None, now: float) -> None:
+        if name is not None:
+            self._targets[name].steps = None
+            self._targets[name].next_command_at = now
+
+    def _follows(self, bundle: Bundle, now: float) -> bool:
+        """Return whether the standby is due to follow the owner."""
+        return self._lapsed(bundle, now) and self._standby_usable(bundle, now)
+
+    def _lapsed(self, bundle: Bundle, now: float) -> bool:
+        """Return whether the owner can't hold a valid grant any more."""
+        state = self._targets[bundle.owner]
+        if bundle.bound[bundle.owner] != state.incarnation:
+            return True
+        return state.failed(now) and now > bundle.sent_deadline + CLOCK_SKEW_BOUND
+
+    def _standby_usable(self, bundle: Bundle, now: float) -> bool:
+        """Return whether the standby may follow the owner and answers."""
+        standby = self._targets.get(bundle.standby) if bundle.standby else None
+        if standby is None or bundle.standby in bundle.barred or not standby.fenced:
+            return False
+        return standby.incarnation == bundle.standby_bound and not standby.failed(now)
--- /dev/null
+++ b/tests/test_ownership/interleavings.py
@@ -0,0 +1,309 @@
+"""A world of dispatchers, targets and a table whose interleavings a test can search."""
+
+from __future__ import annotations
+
+import pickle
+from collections import Counter
+from dataclasses import dataclass, field, replace
+from random import Random
+
+from radishshunt.emulator.grants import Rejected, TargetGrants
+from radishshunt.model import GroupId, GroupRow, HostRef, SliceAssignment
+from radishshunt.ownership import Fence, GroupOwnership
+
+SERVICE = "s"
+KEY = (SERVICE, 0)
+SLICE = 0
+START = 1000.0
+# One step of time: longer than a control call may last, and than LOST_AFTER_SECONDS.
+QUANTUM = 0.5
+GRANT_SECONDS = 1.2
+LATE_MESSAGES = 6
+REQUEST_SECONDS = 1.0
+
+
+@dataclass(frozen=True)
+class Bounds:
+    """Limits of a search.
+
+    :param restarts: Restarts of targets.
+    :param losses: Answers that are lost after the command took effect.
+    :param clock_steps: Steps of a target's clock within the skew bound.
+    :param writes: Rows written after the first.
+    :param seconds: Simulated time.
+    """
+
+    restarts: int = 2
+    losses: int = 2
+    clock_steps: int = 1
+    writes: int = 1
+    seconds: float = 5.0
+
+
+class TwoOwners(Exception):
+    """Two targets hold valid grants for the same slice."""
+
+
+@dataclass
+class Sent:
+    """A command on its way.
+
+    :param waiting: Whether the dispatcher still waits for the answer.
+    """
+
+    dispatcher: str
+    command: object
+    waiting: bool = True
+
+
+@dataclass
+class World:
+    """Dispatchers ``d`` (of the row), ``h`` (standby) and ``n`` (of the next row)."""
+
+    ownership_class: type[GroupOwnership]
+    names: tuple[str, ...] = ("a", "b")
+    now: float = START
+    next_incarnation: int = 100
+    targets: dict[str, TargetGrants] = field(default_factory=dict)
+    clock_offsets: dict[str, float] = field(default_factory=dict)
+    dispatchers: dict[str, GroupOwnership] = field(default_factory=dict)
+    stopped: set[str] = field(default_factory=set)
+    promised: bool = False
+    sent: list[Sent] = field(default_factory=list)
+    row: GroupRow | None = None
+    counts: Counter = field(default_factory=Counter)
+    trace: list[str] = field(default_factory=list)
+
+    def start(self, unfenced: dict[str, tuple[int, ...]] | None = None) -> World:
+        """Start targets and the dispatcher of the first row."""
+        for name in self.names:
+            self.next_incarnation += 1
+            self.targets[name] = TargetGrants(self.next_incarnation)
+            self.clock_offsets[name] = 0.0
+        self.row = GroupRow(
+            GroupId(SERVICE, 0),
+            2,
+            HostRef("d", 1),
+            HostRef("h", 1),
+            self.names,
+            {SLICE: SliceAssignment(self.names[0], self.names[1])},
+            unfenced or {},
+        )
+        self.dispatchers["d"] = self.ownership_class(self.row, 2, GRANT_SECONDS)
+        self.tick("d")
+        return self
+
+    def settle(self, rounds: int = 6) -> World:
+        """Deliver everything at once, as in normal service."""
+        for _ in range(rounds):
+            for item in [item for item in self.sent if item.waiting]:
+                self.deliver(item)
+        self.sent = [item for item in self.sent if item.waiting]
+        self.trace.clear()
+        return self
+
+    def tick(self, name: str) -> None:
+        """Send what is due at a dispatcher."""
+        if name in self.stopped or name not in self.dispatchers:
+            return
+        waiting = {i.command.target for i in self.sent if i.dispatcher == name and i.waiting}
+        for command in self.dispatchers[name].commands(self.now):
+            if command.target not in waiting:
+                self.sent.append(Sent(name, command))
+
+    def actions(self, bounds: Bounds) -> list[tuple]:
+        """Return what may happen next."""
+        found: list[tuple] = []
+        for index, item in enumerate(self.sent):
+            found.append(("deliver", index))
+            if item.waiting and self.counts["losses"] < bounds.losses:
+                found.append(("lose-answer", index))
+                found.append(("repeat", index))
+        if self.now - START < bounds.seconds:
+            found.append(("advance",))
+        if self.counts["restarts"] < bounds.restarts:
+            found += [("restart", name) for name in self.names]
+        if self.counts["clock_steps"] < bounds.clock_steps:
+            found += [("clock", name, offset) for name in self.names for offset in (-0.05, 0.05)]
+        if "h" not in self.dispatchers and self.row.generation == 2 and not self.promised:
+            found.append(("take-over",))
+            if bounds.writes:
+                found.append(("promise",))
+        if self.counts["writes"] < bounds.writes:
+            found += [("write", name) for name in self.dispatchers if name not in self.stopped]
+        return found
+
+    def apply(self, action: tuple) -> None:
+        """Let something happen, and check that there is at most one owner."""
+        kind = action[0]
+        self.trace.append(" ".join(map(str, action)))
+        if kind in ("deliver", "lose-answer", "repeat"):
+            item = self.sent[action[1]]
+            self.trace[-1] = f"{kind} {item.dispatcher} {item.command}"
+            self.deliver(item, lose=kind == "lose-answer", keep=kind == "repeat")
+            self.counts["losses"] += kind != "deliver"
+        elif kind == "advance":
+            self._advance()
+        elif kind == "restart":
+            self.counts["restarts"] += 1
+            self.next_incarnation += 1
+            self.targets[action[1]] = TargetGrants(self.next_incarnation)
+        elif kind == "clock":
+            self.counts["clock_steps"] += 1
+            self.clock_offsets[action[1]] = action[2]
+        elif kind == "take-over":
+            self.dispatchers["h"] = self.ownership_class(self.row, 3, GRANT_SECONDS)
+            self.tick("h")
+        elif kind == "promise":
+            self.promised = True
+        elif kind == "write":
+            self._write(action[1])
+        self.check()
+
+    def deliver(self, item: Sent, *, lose: bool = False, keep: bool = False) -> None:
+        """Let a command reach its target, and its answer the dispatcher."""
+        command = item.command
+        target = self.targets[command.target]
+        answered = item.waiting and not lose and item.dispatcher not in self.stopped
+        if keep:
+            item.waiting = False
+        else:
+            self.sent.remove(item)
+        ownership = self.dispatchers[item.dispatcher]
+        try:
+            if isinstance(command, Fence):
+                result = target.fence(KEY, command.generation, command.slices)
+                if answered:
+                    held = frozenset(result.held_standby)
+                    ownership.on_fenced(command, target.incarnation, held, result.busy, self.now)
+            else:
+                target.grant(
+                    KEY,
+                    command.generation,
+                    command.incarnation,
+                    [n for n, step in command.steps.items() if step == 0],
+                    [n for n, step in command.steps.items() if step == 1],
+                    command.deadline,
+                )
+                if answered:
+                    ownership.on_granted(command, self.now)
+        except Rejected as exc:
+            if answered and exc.reason == "incarnation":
+                ownership.on_restarted(command, target.incarnation, self.now)
+            elif answered:
+                self.stopped.add(item.dispatcher)
+        if lose:
+            ownership.on_failure(command.target, self.now)
+        self.tick(item.dispatcher)
+
+    def check(self) -> None:
+        """Check that at most one target would run a request."""
+        owners = [
+            name
+            for name, target in self.targets.items()
+            if target.valid_epoch(KEY, SLICE, self.now + self.clock_offsets[name]) is not None
+        ]
+        if len(owners) > 1:
+            raise TwoOwners("\n".join([*self.trace, f"owners: {owners}"]))
+
+    def key(self) -> bytes:
+        """Return a digest of the state for recognising it again."""
+        return pickle.dumps(
+            (self.now, self.targets, self.clock_offsets, self.dispatchers, self.stopped, self.sent)
+        )
+
+    def _advance(self) -> None:
+        """Let time pass; calls without an answer have then failed and may arrive late."""
+        for item in self.sent:
+            if item.waiting:
+                item.waiting = False
+                self.dispatchers[item.dispatcher].on_failure(item.command.target, self.now)
+        self.now += QUANTUM
+        # Only the latest message of each kind can make a difference to older ones.
+        latest = {(i.dispatcher, i.command.target, type(i.command)): i for i in self.sent}
+        self.sent = list(latest.values())[-LATE_MESSAGES:]
+        for name in self.dispatchers:
+            self.tick(name)
+
+    def _write(self, writer: str) -> None:
+        """Write the next row with what the writer's rules say has to be fenced.
+
+        The standby becomes owner, and a target without slices, if any, the standby.
+        """
+        self.counts["writes"] += 1
+        ownership = self.dispatchers[writer]
+        unfenced = ownership.unsettled(self.now, rivals_stopped=self.promised)
+        names = self.names[1:] + self.names[:1] if len(self.names) == 2 else self.names[1:3]
+        self.row = replace(
+            self.row,
+            generation=4,
+            dispatcher=HostRef("n", 1),
+            slices={SLICE: SliceAssignment(*names)},
+            unfenced=unfenced,
+        )
+        self.dispatchers["n"] = self.ownership_class(self.row, 4, GRANT_SECONDS)
+        self.tick("n")
+
+
+def copy(world: World) -> World:
+    """Return an independent copy."""
+    return pickle.loads(pickle.dumps(world))
+
+
+def search_depth_first(world: World, bounds: Bounds, max_states: int) -> int:
+    """Visit the states that follow, each once, and return their number.
+
+    :raises TwoOwners: If a state has two owners.
+    """
+    seen: set[int] = set()
+    stack = [world]
+    while stack and len(seen) < max_states:
+        state = stack.pop()
+        for action in state.actions(bounds):
+            following = copy(state)
+            following.apply(action)
+            mark = hash(following.key())
+            if mark not in seen:
+                seen.add(mark)
+                stack.append(following)
+    return len(seen)
+
+
+def search_at_random(world: World, bounds: Bounds, walks: int, seed: int, length: int = 60) -> int:
+    """Follow random interleavings, which reach deeper than the search of all states.
+
+    :raises TwoOwners: If a state has two owners.
+    """
+    random = Random(seed)
+    start = pickle.dumps(world)
+    steps = 0
+    for _ in range(walks):
+        state = pickle.loads(start)
+        weights = {
+            "deliver": random.choice((1.0, 3.0, 6.0)),
+            "advance": random.choice((0.3, 1.0, 2.0)),
+            "restart": random.choice((0.1, 0.5)),
+            "lose-answer": 0.5,
+            "repeat": 0.3,
+            "clock": 0.2,
+            "take-over": 0.5,
+            "promise": 0.3,
+            "write": 0.3,
+        }
+        # Some walks cut one dispatcher off from one target.
+        cut = random.choice((None, *((d, t) for d in "dhn" for t in state.names)))
+        for _ in range(length):
+            actions = [a for a in state.actions(bounds) if not _is_cut(state, a, cut)]
+            if not actions:
+                break
+            chosen = random.choices(actions, [weights[a[0]] for a in actions])[0]
+            state.apply(chosen)
+            steps += 1
+    return steps
+
+
+def _is_cut(state: World, action: tuple, cut: tuple[str, str] | None) -> bool:
+    if cut is None or action[0] not in ("deliver", "lose-answer", "repeat"):
+        return False
+    item = state.sent[action[1]]
+    return (item.dispatcher, item.command.target) == cut
