--- a/Makefile
+++ b/Makefile
@@ -34,5 +34,11 @@
 	    radishshunt/__main__.py
 	dist/radishshunt version
 
+soak: setup
+	$(BIN)/python -m tests.soak.run --seed 1
+
+capacity: setup
+	$(BIN)/python -m radishshunt.experiment.capacity
+
 clean:
 	rm -rf build dist report
--- a/radishshunt/cmd/emulate.py
+++ b/radishshunt/cmd/emulate.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from functools import partial
+from pathlib import Path
 from typing import Annotated
 
 import trio
@@ -31,9 +32,11 @@
     address: Address,
     slots: Annotated[int, typer.Option(min=1, help="Requests run at once.")] = 3,
     checks_fences: Annotated[bool, typer.Option(help="Refuse requests without a grant.")] = True,
+    journal: Annotated[Path | None, typer.Option(help="File for a line per execution.")] = None,
 ) -> None:
     """Run a stand-in target until ^C."""
-    emulator = TargetEmulator(name, slots, SystemClock(), checks_fences=checks_fences)
+    file = journal.open("ab", buffering=0) if journal else None
+    emulator = TargetEmulator(name, slots, SystemClock(), checks_fences=checks_fences, journal=file)
     trio.run(partial(serve_emulator, emulator.app, address))
 
 
--- a/radishshunt/emulator/target.py
+++ b/radishshunt/emulator/target.py
@@ -13,6 +13,9 @@
 from radishshunt.model import new_incarnation
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from typing import BinaryIO
+
     from radishshunt.clock import Clock
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
@@ -71,9 +74,19 @@
     """One stand-in target.
 
     :param checks_fences: Whether it refuses requests without a valid grant.
+    :param journal: Unbuffered file for a JSON line at each start and end of a request, which
+        outlives the process.
     """
 
-    def __init__(self, name: str, slots: int, clock: Clock, *, checks_fences: bool = True) -> None:
+    def __init__(
+        self,
+        name: str,
+        slots: int,
+        clock: Clock,
+        *,
+        checks_fences: bool = True,
+        journal: BinaryIO | None = None,
+    ) -> None:
         self.name = name
         self.slots = slots
         self.checks_fences = checks_fences
@@ -81,6 +94,7 @@
         self.executions: list[Execution] = []
         self.most_at_once = 0
         self._clock = clock
+        self._journal = journal
         self._running: dict[str, tuple[tuple[str, int], int, int, float]] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self.restart()
@@ -180,12 +194,14 @@
             deadline=trio.current_time() + max(0.0, deadline - self._clock.now())
         )
         started_at = self._clock.now()
+        self._write_journal("start", request_id, headers, number)
         try:
             with scope:
                 await trio.sleep(self.behaviour.service_seconds * self.behaviour.slowdown)
         finally:
             del self._running[request_id]
             del self._scopes[request_id]
+            self._write_journal("end", request_id, headers, number)
         execution = Execution(
             target=self.name,
             service=group[0],
@@ -214,6 +230,25 @@
         resp.headers["Radishshunt-Request-Id"] = request_id
         return resp
 
+    def _write_journal(
+        self, event: str, request_id: str, headers: Mapping[str, str], number: int
+    ) -> None:
+        if self._journal is None:
+            return
+        doc = {
+            "event": event,
+            "at": self._clock.now(),
+            "target": self.name,
+            "incarnation": self.incarnation,
+            "request_id": request_id,
+            "service": headers.get("Radishshunt-Service", ""),
+            "key": headers.get("Radishshunt-Key", ""),
+            "idempotency_key": headers.get("Idempotency-Key", ""),
+            "epoch": int(headers.get("Radishshunt-Epoch", "0")),
+            "slice": number,
+        }
+        self._journal.write(json.dumps(doc).encode() + b"\n")
+
     def _refusal(self, headers: dict[str, str], deadline: float) -> str | None:
         if self._clock.now() >= deadline:
             return "deadline"
--- a/tests/support/system.py
+++ b/tests/support/system.py
@@ -79,7 +79,7 @@
             self._start_relay()
         self.start("platform", "emulate", "platform", f"127.{net}.0.1:7000")
         for name, address in self.targets.items():
-            options = self.deployment.target_options
+            options = ("--journal", str(self.journal(name)), *self.deployment.target_options)
             self.start(name, "emulate", "target", name, address, *options)
         self.wait_for(f"http://127.{net}.0.1:7000/emulator/counts")
         self.client.put(self.platform_url("/emulator/hosts"), json={"hosts": entries})
@@ -88,6 +88,10 @@
         for name in self.hosts:
             self.wait_for(self.admin_url(name, "/healthz"))
 
+    def journal(self, target: str) -> Path:
+        """Return the file in which a target records its executions."""
+        return self.directory / f"{target}.journal"
+
     def start(self, name: str, *args: str) -> None:
         """Start a part."""
         self._arguments[name] = args
