--- a/radishshunt/directory.py
+++ b/radishshunt/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from array import array
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -50,7 +51,7 @@
         self.catalog = Catalog()
         self.rows: dict[GroupId, GroupRow] = {}
         self._dispatchers: dict[GroupId, Dispatcher] = {}
-        self._slice_groups: dict[str, list[GroupId | None]] = {}
+        self._slice_groups: dict[str, tuple[array, list[GroupId]]] = {}
         self._changed = trio.Event()
 
     async def wait_changed(self) -> None:
@@ -105,10 +106,12 @@
 
     def group_of_slice(self, service: str, number: int) -> GroupId | None:
         """Return the group that a slice belongs to, or ``None`` if no known row lists it."""
-        groups = self._slice_groups.get(service)
-        if groups is None:
-            groups = self._slice_groups[service] = self._build_slices(service)
-        return groups[number]
+        known = self._slice_groups.get(service)
+        if known is None:
+            known = self._slice_groups[service] = self._build_slices(service)
+        indexes, groups = known
+        index = indexes[number]
+        return groups[index - 1] if index else None
 
     def locate(self, service: str, key: str) -> Location | None:
         """Return where a keyed service's key is served, or ``None`` if that is unknown."""
@@ -126,13 +129,15 @@
             if dispatcher is not None:
                 yield Location(group, None, dispatcher)
 
-    def _build_slices(self, service: str) -> list[GroupId | None]:
-        groups: list[GroupId | None] = [None] * self.catalog.services[service].slices
+    def _build_slices(self, service: str) -> tuple[array, list[GroupId]]:
+        """Return each slice's index into a list of groups, counted from 1, with 0 for none."""
+        indexes = array("I", bytes(4 * self.catalog.services[service].slices))
         # Rows of two groups can be of different age while a slice moves; the newer one wins.
-        for group in sorted(self.groups_of(service), key=lambda g: self.rows[g].generation):
+        groups = sorted(self.groups_of(service), key=lambda g: self.rows[g].generation)
+        for index, group in enumerate(groups, start=1):
             for number in self.rows[group].slices:
-                groups[number] = group
-        return groups
+                indexes[number] = index
+        return indexes, groups
 
     def _notify(self) -> None:
         self._changed.set()
--- /dev/null
+++ b/radishshunt/experiment/__init__.py
@@ -0,0 +1,3 @@
+"""Experiments and measurements on simulated clocks."""
+
+from __future__ import annotations
--- a/radishshunt/model.py
+++ b/radishshunt/model.py
@@ -8,6 +8,27 @@
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from radishshunt.slices import SliceAssignment, SliceMap, from_ranges, to_ranges
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = [
+    "GroupId",
+    "GroupRow",
+    "HostInfo",
+    "HostRef",
+    "Outcome",
+    "Request",
+    "Response",
+    "SliceAssignment",
+    "body_of",
+    "ip_of",
+    "new_incarnation",
+    "read_body",
+]
+from typing import TYPE_CHECKING
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
@@ -70,14 +91,6 @@
         return f"group/{self.service}/{self.group}"
 
 
-@dataclass(frozen=True, slots=True)
-class SliceAssignment:
-    """The two targets that may own a slice under one generation."""
-
-    owner: str
-    standby: str | None
-
-
 @dataclass(frozen=True, slots=True)
 class GroupRow:
     """Row of a dispatch group in the platform's table.
@@ -94,15 +107,26 @@
     dispatcher: HostRef
     standby_dispatcher: HostRef | None
     targets: tuple[str, ...]
-    slices: dict[int, SliceAssignment] = field(default_factory=dict)
+    slices: Mapping[int, SliceAssignment] = field(default_factory=dict)
     unfenced: dict[str, tuple[int, ...]] = field(default_factory=dict)
     version: int = 0
 
+    def __post_init__(self) -> None:
+        if not isinstance(self.slices, SliceMap):
+            object.__setattr__(self, "slices", SliceMap(self.slices))
+
     def to_json(self) -> bytes:
         """Return the row as JSON, without its table version."""
-        doc = asdict(self)
-        del doc["version"]
-        doc["slices"] = {str(s): [a.owner, a.standby] for s, a in self.slices.items()}
+        standby = self.standby_dispatcher
+        doc = {
+            "group": asdict(self.group),
+            "generation": self.generation,
+            "dispatcher": asdict(self.dispatcher),
+            "standby_dispatcher": asdict(standby) if standby else None,
+            "targets": self.targets,
+            "slices": self.slices.to_document(),
+            "unfenced": {name: to_ranges(numbers) for name, numbers in self.unfenced.items()},
+        }
         return json.dumps(doc, separators=(",", ":"), sort_keys=True).encode()
 
     @classmethod
@@ -120,8 +144,8 @@
             dispatcher=HostRef(**doc["dispatcher"]),
             standby_dispatcher=HostRef(**standby) if standby else None,
             targets=tuple(doc["targets"]),
-            slices={int(s): SliceAssignment(*pair) for s, pair in doc["slices"].items()},
-            unfenced={name: tuple(s) for name, s in doc["unfenced"].items()},
+            slices=SliceMap.from_document(doc["slices"]),
+            unfenced={name: tuple(from_ranges(r)) for name, r in doc["unfenced"].items()},
             version=version,
         )
 
--- a/radishshunt/planner.py
+++ b/radishshunt/planner.py
@@ -9,7 +9,7 @@
 from radishshunt.model import GroupId, GroupRow, HostRef, SliceAssignment
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Mapping, Sequence
 
     from radishshunt.model import HostInfo
     from radishshunt.release.catalog import Catalog, ServiceSpec
@@ -171,7 +171,7 @@
 
 
 def _assign(
-    slices: dict[int, SliceAssignment], usable: list[str], domain_of: dict[str, str]
+    slices: Mapping[int, SliceAssignment], usable: list[str], domain_of: dict[str, str]
 ) -> dict[int, SliceAssignment]:
     """Keep what can stay, and spread the rest evenly over the usable targets."""
     if not usable:
@@ -199,7 +199,7 @@
 
 
 def _unfenced(
-    view: View, row: GroupRow, slices: dict[int, SliceAssignment]
+    view: View, row: GroupRow, slices: Mapping[int, SliceAssignment]
 ) -> dict[str, tuple[int, ...]]:
     """Return the targets that may hold grants of earlier generations for the next row's slices."""
     if row.group in view.unsettled:
