--- a/radishshunt/emulator/relay.py
+++ b/radishshunt/emulator/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -57,6 +58,10 @@
         self.silenced = False
         self.scope = trio.CancelScope()
 
+    def count(self, size: int) -> None:
+        """Count bytes that were passed on, in either direction."""
+        self._relay.carried[(self.source, self.destination)] += size
+
     def carries(self, *, forward: bool) -> bool:
         """Return whether bytes in a direction are passed on now."""
         state = self._relay.state(self.source, self.destination)
@@ -73,12 +78,14 @@
     separately. A rule for source ``*`` holds for all sources without a rule of their own.
 
     :param routes: Addresses to relay.
+    :ivar carried: Bytes passed on, by source and destination of their connection.
     """
 
     def __init__(self, routes: Iterable[Route]) -> None:
         self._routes = list(routes)
         self._states: dict[tuple[str, str], LinkState] = {}
         self._open: set[_Connection] = set()
+        self.carried: Counter[tuple[str, str]] = Counter()
         self.app = self._build_app()
 
     def state(self, source: str, destination: str) -> LinkState:
@@ -158,7 +165,8 @@
 
         @app.get("/links")
         async def links() -> dict:
-            return {"open": len(self._open)}
+            carried = [[s, d, size] for (s, d), size in self.carried.items()]
+            return {"open": len(self._open), "carried": carried}
 
         @app.put("/links")
         async def set_link() -> Response:
@@ -182,6 +190,7 @@
         if not data:
             await sink.send_eof()
             return
+        conn.count(len(data))
         await sink.send_all(data)
 
 
