--- /dev/null
+++ b/radishshunt/placement/balanced.py
@@ -0,0 +1,171 @@
+"""Move few slices, and only as far as measured load asks for."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from math import sqrt
+from typing import TYPE_CHECKING
+
+from radishshunt.placement import Move, Placement
+
+if TYPE_CHECKING:
+    from radishshunt.placement import Place, PlacementView
+
+# Utilisation relative to the mean from which a target gives slices away.
+IMBALANCE_LIMIT = 1.08
+# Utilisation relative to the mean up to which a target is filled; below the limit, so that
+# noise doesn't push the receiving target over it at once.
+FILL_LIMIT = 1.02
+# Standard deviations of the counted requests that a difference must exceed.
+NOISE_DEVIATIONS = 1.5
+# A slice that has moved stays for this long, unless its owner takes no work.
+STAY_SECONDS = 5.0
+# Unforced moves in one round. Each makes its keys wait for one fence, one write and one grant.
+MOVES_PER_ROUND = 24
+# Difference between two targets' utilisation, relative to the mean, that a slice changes its
+# group for. A move within a group writes one row instead of two.
+GROUP_PREFERENCE = 0.03
+
+
+class Balanced(Placement):
+    """Takes the largest slices that fit from the most used targets.
+
+    Taking large slices first keeps the number of moves near the least possible.
+    """
+
+    def __init__(
+        self,
+        imbalance_limit: float = IMBALANCE_LIMIT,
+        fill_limit: float = FILL_LIMIT,
+        noise_deviations: float = NOISE_DEVIATIONS,
+        stay_seconds: float = STAY_SECONDS,
+        moves_per_round: int = MOVES_PER_ROUND,
+        group_preference: float = GROUP_PREFERENCE,
+    ) -> None:
+        self._imbalance_limit = imbalance_limit
+        self._fill_limit = fill_limit
+        self._noise_deviations = noise_deviations
+        self._stay_seconds = stay_seconds
+        self._moves_per_round = moves_per_round
+        self._group_preference = group_preference
+
+    def moves(self, view: PlacementView) -> list[Move]:
+        if not any(place.capacity > 0 for place in view.places):
+            return []
+        state = _State(view, self._group_preference)
+        result = self._evacuate(view, state)
+        if state.mean <= 0:
+            return result
+        noise = self._noise_deviations / sqrt(max(view.counted, 1.0))
+        limit = max(self._imbalance_limit, 1.0 + noise) * state.mean
+        fill = self._fill_limit * state.mean
+        settled = {
+            number
+            for number in view.owners
+            if view.now - view.moved_at.get(number, float("-inf")) >= self._stay_seconds
+        }
+        full: set[str] = set()
+        for _ in range(self._moves_per_round):
+            move = self._relieve(state, limit, fill, settled, full)
+            if move is None:
+                break
+            result.append(move)
+        return result
+
+    def _evacuate(self, view: PlacementView, state: _State) -> list[Move]:
+        """Move everything from targets that take no work, large slices first."""
+        numbers = [number for number, owner in view.owners.items() if state.capacity(owner) <= 0]
+        result = []
+        for number in sorted(numbers, key=lambda n: (-state.load(n), n)):
+            to = state.receiver(number, view.standbys.get(number), float("inf"))
+            if to is not None:
+                result.append(state.move(number, to, forced=True))
+        return result
+
+    def _relieve(
+        self, state: _State, limit: float, fill: float, settled: set[int], full: set[str]
+    ) -> Move | None:
+        """Return a move away from the most used target that can be relieved."""
+        while True:
+            source = state.most_used(full)
+            if source is None or state.used[source] <= limit:
+                return None
+            excess = (state.used[source] - state.mean) * state.capacity(source)
+            candidates = [n for n in state.owned[source] if n in settled and state.load(n) > 0]
+            candidates.sort(key=lambda n: (state.load(n) > excess * 1.1, -state.load(n), n))
+            for number in candidates:
+                if number in state.moved:
+                    continue
+                # A slice that is larger than the excess may only go where it ends up less used.
+                bound = fill if state.load(number) <= excess * 1.1 else state.used[source] * 0.95
+                to = state.receiver(number, None, bound)
+                if to is not None:
+                    return state.move(number, to, forced=False)
+            full.add(source)
+
+
+class _State:
+    """Loads as they will be after the moves chosen so far."""
+
+    def __init__(self, view: PlacementView, group_preference: float) -> None:
+        self._load = view.load
+        self._places: dict[str, Place] = {place.name: place for place in view.places}
+        self._usable = [place for place in view.places if place.capacity > 0]
+        self._owner = dict(view.owners)
+        self.moved: set[int] = set()
+        self.owned: dict[str, set[int]] = defaultdict(set)
+        for number, owner in view.owners.items():
+            self.owned[owner].add(number)
+        capacity = sum(place.capacity for place in self._usable)
+        self.mean = sum(view.load.get(n, 0.0) for n in view.owners) / capacity
+        self._preference = group_preference * self.mean
+        self.used = {
+            place.name: sum(self.load(n) for n in self.owned[place.name]) / place.capacity
+            for place in self._usable
+        }
+
+    def load(self, number: int) -> float:
+        return self._load.get(number, 0.0)
+
+    def capacity(self, name: str) -> float:
+        place = self._places.get(name)
+        return place.capacity if place is not None else 0.0
+
+    def most_used(self, skipped: set[str]) -> str | None:
+        names = [name for name in self.used if name not in skipped]
+        return max(names, key=lambda name: (self.used[name], name), default=None)
+
+    def receiver(self, number: int, standby: str | None, bound: float) -> str | None:
+        """Return the target that a slice fits best, or ``None`` if it fits none.
+
+        :param standby: Preferred at equal use, because it needs no new pair of targets.
+        :param bound: Use that the receiving target may reach.
+        """
+        owner = self._places.get(self._owner[number])
+        group = owner.group if owner is not None else -1
+        best, best_use = None, float("inf")
+        for place in self._usable:
+            if place.name == self._owner[number]:
+                continue
+            after = self.used[place.name] + self.load(number) / place.capacity
+            if after > bound:
+                continue
+            if place.name == standby:
+                after -= 2 * self._preference
+            elif place.group == group:
+                after -= self._preference
+            if after < best_use:
+                best, best_use = place.name, after
+        return best
+
+    def move(self, number: int, to: str, *, forced: bool) -> Move:
+        source = self._owner[number]
+        load = self.load(number)
+        self.owned[source].discard(number)
+        if source in self.used:
+            self.used[source] -= load / self.capacity(source)
+        self.owned[to].add(number)
+        self.used[to] += load / self.capacity(to)
+        self._owner[number] = to
+        self.moved.add(number)
+        return Move(number, source, to, forced=forced)
--- /dev/null
+++ b/radishshunt/policy/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions under load and faults, free of I/O; every one has a plain baseline beside it."""
+
+from __future__ import annotations
--- /dev/null
+++ b/radishshunt/policy/balancing/reported_load.py
@@ -0,0 +1,25 @@
+"""Baseline: the target with the least reported load."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from radishshunt.policy.balancing import Balancing
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from radishshunt.policy.balancing import Candidate
+
+
+class ReportedLoad(Balancing):
+    """Believes the targets' load reports, which are seconds old."""
+
+    def __init__(self) -> None:
+        self._loads: dict[str, float] = {}
+
+    def on_report(self, target: str, load: float) -> None:
+        self._loads[target] = load
+
+    def pick(self, candidates: Sequence[Candidate]) -> Candidate:
+        return min(candidates, key=lambda c: self._loads.get(c.name, 0.0))
--- /dev/null
+++ b/radishshunt/policy/profile.py
@@ -0,0 +1,101 @@
+"""The policies that a dispatcher uses together."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import TYPE_CHECKING
+
+from radishshunt.policy.admission.expected_wait import ExpectedWait
+from radishshunt.policy.admission.queue_limit import QueueLimit
+from radishshunt.policy.balancing.expected_wait import LeastExpectedWait
+from radishshunt.policy.balancing.round_robin import RoundRobin
+from radishshunt.policy.cold_start.ramp import Ramp
+from radishshunt.policy.cold_start.unbounded import Unbounded
+from radishshunt.policy.drain.immediate import Immediate
+from radishshunt.policy.drain.staged import Staged
+from radishshunt.policy.hedging.budgeted import Budgeted
+from radishshunt.policy.hedging.never import Never
+from radishshunt.policy.lane_state import LaneState
+from radishshunt.policy.queueing.adaptive_lifo import AdaptiveLifo
+from radishshunt.policy.queueing.fifo import Fifo
+from radishshunt.policy.stragglers.observed import Observed
+from radishshunt.policy.stragglers.reported import Reported
+
+if TYPE_CHECKING:
+    from radishshunt.policy.balancing import Balancing
+    from radishshunt.policy.drain import Drain
+    from radishshunt.policy.hedging import Hedging
+    from radishshunt.policy.stragglers import StragglerDetector
+
+
+class Profile(ABC):
+    """Makes the policies of one group's dispatcher."""
+
+    @abstractmethod
+    def lane(
+        self, slots: int, cold_slots: int, cold_seconds: float, queue_limit: int
+    ) -> LaneState:
+        """Return the state of a target's lane."""
+
+    @abstractmethod
+    def balancing(self) -> Balancing:
+        """Return the choice among a group's targets."""
+
+    @abstractmethod
+    def stragglers(self) -> StragglerDetector:
+        """Return the detector of slow targets."""
+
+    @abstractmethod
+    def hedging(self) -> Hedging:
+        """Return the decision about second copies."""
+
+    @abstractmethod
+    def drain(self) -> Drain:
+        """Return the capacity of targets whose domain leaves or returns."""
+
+
+class Adaptive(Profile):
+    """The policies in use."""
+
+    def lane(
+        self, slots: int, cold_slots: int, cold_seconds: float, queue_limit: int
+    ) -> LaneState:
+        return LaneState(
+            slots,
+            ExpectedWait(queue_limit),
+            AdaptiveLifo(),
+            Ramp(slots, cold_slots, cold_seconds),
+        )
+
+    def balancing(self) -> Balancing:
+        return LeastExpectedWait()
+
+    def stragglers(self) -> StragglerDetector:
+        return Observed()
+
+    def hedging(self) -> Hedging:
+        return Budgeted()
+
+    def drain(self) -> Drain:
+        return Staged()
+
+
+class Plain(Profile):
+    """The baselines."""
+
+    def lane(
+        self, slots: int, cold_slots: int, cold_seconds: float, queue_limit: int
+    ) -> LaneState:
+        return LaneState(slots, QueueLimit(queue_limit), Fifo(), Unbounded(slots))
+
+    def balancing(self) -> Balancing:
+        return RoundRobin()
+
+    def stragglers(self) -> StragglerDetector:
+        return Reported()
+
+    def hedging(self) -> Hedging:
+        return Never()
+
+    def drain(self) -> Drain:
+        return Immediate()
