Use the load policies in the dispatcher's lanes and target choice

Cause: lanes were first in, first out with a fixed limit and no cold-start bound. Change: Lane waits and wakes under trio, LaneState decides. A new incarnation, a target that joins a running dispatcher and a refusal that says cold lower the bound. Repeated sends after refusals have a budget. take_load() returns what a planner needs.

--- a/radishshunt/dispatch/grants.py
+++ b/radishshunt/dispatch/grants.py
@@ -26,6 +26,7 @@
 
     :param clients: Clients of all targets that the row names.
     :param on_changed: Called when it may have changed who serves a slice.
+    :param on_incarnation: Called with the incarnation of each target that acknowledges a fence.
     """
 
     def __init__(
@@ -36,11 +37,13 @@
         clients: dict[str, TargetClient],
         clock: Clock,
         on_changed: Callable[[], None],
+        on_incarnation: Callable[[str, int], None] | None = None,
     ) -> None:
         self.deposed = False
         self._clients = clients
         self._clock = clock
         self._on_changed = on_changed
+        self._on_incarnation = on_incarnation
         self._ownership = GroupOwnership(row, generation, grant_seconds)
 
     @property
@@ -85,6 +88,8 @@
         try:
             if isinstance(command, Fence):
                 answer = await client.fence(group.service, group.group, command)
+                if self._on_incarnation is not None:
+                    self._on_incarnation(command.target, answer.incarnation)
                 ownership.on_fenced(
                     command.target, answer.incarnation, answer.held_standby, self._clock.now()
                 )
--- a/radishshunt/dispatch/group.py
+++ b/radishshunt/dispatch/group.py
@@ -8,10 +8,14 @@
 
 from radishshunt.dispatch.grants import GrantKeeper
 from radishshunt.dispatch.lane import Lane
+from radishshunt.dispatch.load import LoadCounter
 from radishshunt.errors import NotOwner, NotRun
 from radishshunt.hashing import key_hash
 from radishshunt.logs import decision
 from radishshunt.model import Response, read_body
+from radishshunt.policy.balancing import Candidate
+from radishshunt.policy.budgets import REFUSAL_RATIO, TokenBudget
+from radishshunt.policy.profile import Adaptive
 from radishshunt.targets import TargetClient
 
 if TYPE_CHECKING:
@@ -19,8 +23,10 @@
 
     from radishshunt.clock import Clock
     from radishshunt.directory import Directory
+    from radishshunt.dispatch.lane import Turn
     from radishshunt.model import GroupRow, Request
     from radishshunt.ownership import Serving
+    from radishshunt.placement.load_report import GroupLoad
     from radishshunt.settings import LimitsSection
 
 # Pause before a request that did not run is tried again.
@@ -54,10 +60,22 @@
         self._clock = clock
         self._clients: dict[str, TargetClient] = {}
         self._lanes: dict[str, Lane] = {}
+        self._profile = Adaptive()
+        self._balancing = self._profile.balancing()
+        self._stragglers = self._profile.stragglers()
+        self._incarnations: dict[str, int] = {}
+        self._refusals = TokenBudget(REFUSAL_RATIO)
+        self._load_counter = LoadCounter(clock)
         self._changed = trio.Event()
         self._add_targets(row)
         self._grants = GrantKeeper(
-            row, generation, self._grant_seconds(), self._clients, clock, self._notify
+            row,
+            generation,
+            self._grant_seconds(),
+            self._clients,
+            clock,
+            self._notify,
+            self._on_incarnation,
         )
         self._scope = trio.CancelScope()
 
@@ -77,6 +95,13 @@
         lanes = [self._lanes[name] for name in self.row.targets if name in self._lanes]
         return sum(lane.load for lane in lanes) / len(lanes) if lanes else 0.0
 
+    def take_load(self) -> GroupLoad:
+        """Return the group's load since the last call."""
+        lanes = {name: self._lanes[name] for name in self.row.targets if name in self._lanes}
+        return self._load_counter.take(
+            lanes, self._stragglers, self._profile.drain(), self._takes_work
+        )
+
     def lost_targets(self) -> set[str]:
         """Return the targets that count as lost."""
         return self._grants.lost_targets()
@@ -88,7 +113,9 @@
     def update_row(self, row: GroupRow, generation: int) -> None:
         """Go on under a new row."""
         self.row = row
-        self._add_targets(row)
+        for name in self._add_targets(row):
+            # A target that joins a running dispatcher is taken to be cold.
+            self._lanes[name].on_cold()
         self._grants.update_row(row, generation, self._grant_seconds())
 
     def stop(self) -> None:
@@ -111,25 +138,31 @@
         body = await read_body(req.body, self._limits.body_bytes)
         if body is None:
             raise NotRun("body-too-large", "the body is over the limit", status=413)
+        self._refusals.earn()
+        self._load_counter.count(slice_number)
         while True:
             serving = await self._wait_serving(slice_number, req.deadline)
             lane = self._lanes[serving.target]
-            await lane.acquire(req.deadline)
+            turn = await lane.acquire(req.deadline)
             released = False
             try:
                 if self._serving(slice_number, serving.target) is None:
                     continue
                 resp = await self._send(req, body, slice_number, serving)
-                resp.body = _releasing(resp.body, lane)
+                resp.body = _releasing(resp.body, lane, turn)
                 released = True
                 return resp
             except NotRun as exc:
-                if exc.reason not in ("wrong-epoch", "no-grant", "connect-failed"):
+                if exc.reason not in ("wrong-epoch", "no-grant", "connect-failed", "cold"):
+                    raise
+                if self._shows_cold(exc.reason, serving.target):
+                    lane.on_cold()
+                if not self._refusals.spend():
                     raise
                 await trio.sleep(RETRY_PAUSE_SECONDS)
             finally:
                 if not released:
-                    lane.release()
+                    lane.release(turn, answered=False)
 
     async def _send(
         self, req: Request, body: bytes, slice_number: int | None, serving: Serving
@@ -149,7 +182,7 @@
             request_id=req.id,
             reason="owner" if slice_number is not None else "least-loaded",
         )
-        return await self._clients[serving.target].send(
+        resp = await self._clients[serving.target].send(
             req,
             body,
             now=now,
@@ -158,6 +191,8 @@
             epoch=serving.epoch,
             deadline=deadline,
         )
+        self._stragglers.on_answer(serving.target, self._clock.now() - now)
+        return resp
 
     async def _wait_serving(self, slice_number: int | None, deadline: float) -> Serving:
         while True:
@@ -179,20 +214,52 @@
                 return None
             return serving if catalog.takes_work(serving.target) else None
         names = [target] if target else self.row.targets
-        found = [
-            serving
+        found = {
+            name: serving
             for name in names
             if catalog.takes_work(name) and (serving := self._grants.serving_any(name))
-        ]
-        return min(found, key=lambda s: self._lanes[s.target].load, default=None)
+        }
+        if not found:
+            return None
+        return found[self._balancing.pick([self._candidate(name) for name in found]).name]
+
+    def _candidate(self, name: str) -> Candidate:
+        state = self._lanes[name].state
+        now = self._clock.now()
+        slowness = self._stragglers.slowness(name, state.stuck_seconds(now))
+        return Candidate(name, state.outstanding, state.bound(now), slowness)
+
+    def _shows_cold(self, reason: str, target: str) -> bool:
+        """Return whether a refusal is evidence of a cold start.
+
+        A failed connection is, unless grants already name the target's incarnation.
+        """
+        spec = self._clients[target].spec
+        return reason == "cold" or (reason == "connect-failed" and not spec.checks_fences)
+
+    def _on_incarnation(self, target: str, incarnation: int) -> None:
+        known = self._incarnations.setdefault(target, incarnation)
+        if known != incarnation:
+            self._incarnations[target] = incarnation
+            self._lanes[target].on_cold()
+
+    def _takes_work(self, target: str) -> bool:
+        return self._directory.catalog.takes_work(target) and target not in self.lost_targets()
 
-    def _add_targets(self, row: GroupRow) -> None:
+    def _add_targets(self, row: GroupRow) -> list[str]:
+        """Make the lanes of a row's targets and return the names of the new ones."""
+        added = []
         for name in (*row.targets, *row.unfenced):
             target = self._directory.catalog.targets.get(name)
             if target is not None and name not in self._lanes:
                 limit = self._limits.queue_per_target
-                self._lanes[name] = Lane(target.slots, limit, self._clock)
+                state = self._profile.lane(
+                    target.slots, target.cold_slots, target.cold_seconds, limit
+                )
+                self._lanes[name] = Lane(state, self._clock)
+                added.append(name)
                 self._clients[name] = TargetClient(target, self._local_address)
+        return added
 
     def _grant_seconds(self) -> float:
         return self._directory.catalog.services[self.group.service].grant_seconds
@@ -202,10 +269,10 @@
         self._changed = trio.Event()
 
 
-async def _releasing(body: AsyncIterator[bytes], lane: Lane) -> AsyncIterator[bytes]:
+async def _releasing(body: AsyncIterator[bytes], lane: Lane, turn: Turn) -> AsyncIterator[bytes]:
     """Yield a body and give the slot back at its end."""
     try:
         async for chunk in body:
             yield chunk
     finally:
-        lane.release()
+        lane.release(turn)
--- /dev/null
+++ b/radishshunt/policy/capacity.py
@@ -0,0 +1,34 @@
+"""Usable capacity of a target, from all that its dispatcher knows of it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from radishshunt.policy.drain import Drain
+    from radishshunt.policy.lane_state import LaneState
+    from radishshunt.policy.stragglers import StragglerDetector
+
+# Share of a straggler's capacity that placement uses: enough requests to see its recovery.
+STRAGGLER_SHARE = 0.02
+
+
+def capacity_of(
+    name: str,
+    state: LaneState,
+    stragglers: StragglerDetector,
+    drain: Drain,
+    takes_work: bool,
+    now: float,
+) -> float:
+    """Return the share of a warm target's capacity that placement may use, from 0 to 1.
+
+    :param takes_work: Whether the target is listed and alive and its domain is in.
+    :param now: Seconds since the Unix epoch.
+    """
+    cold = state.cold(now)
+    bound = state.bound(now) if cold else state.slots
+    share = drain.capacity(takes_work=takes_work, bound=bound, slots=state.slots, cold=cold)
+    if share > 0 and stragglers.slowness(name, state.stuck_seconds(now)) > 1.0:
+        return min(share, STRAGGLER_SHARE)
+    return share
--- a/radishshunt/policy/cold_start/__init__.py
+++ b/radishshunt/policy/cold_start/__init__.py
@@ -13,8 +13,9 @@
         """Take evidence that the target is cold: new, restarted, or it said so."""
 
     @abstractmethod
-    def bound(self, now: float, idle_since: float | None) -> int:
+    def bound(self, now: float, idle_seconds: float) -> int:
         """Return how many requests at once the target may get.
 
-        :param idle_since: When the last request ended, ``None`` while requests run.
+        :param idle_seconds: How long the target was idle before the requests that run or would
+            run now, 0 once one of them was answered.
         """
--- a/radishshunt/policy/cold_start/ramp.py
+++ b/radishshunt/policy/cold_start/ramp.py
@@ -37,8 +37,8 @@
     def on_cold(self, now: float) -> None:
         self._cold_since = max(self._cold_since, now)
 
-    def bound(self, now: float, idle_since: float | None) -> int:
-        if idle_since is not None and now - idle_since > self._idle_seconds:
+    def bound(self, now: float, idle_seconds: float) -> int:
+        if idle_seconds > self._idle_seconds:
             return self._cold_slots
         warm_for = now - self._cold_since - self._cold_seconds
         if warm_for < 0:
--- a/radishshunt/policy/cold_start/unbounded.py
+++ b/radishshunt/policy/cold_start/unbounded.py
@@ -14,5 +14,5 @@
     def on_cold(self, now: float) -> None:
         pass
 
-    def bound(self, now: float, idle_since: float | None) -> int:
+    def bound(self, now: float, idle_seconds: float) -> int:
         return self._slots
--- a/radishshunt/policy/lane_state.py
+++ b/radishshunt/policy/lane_state.py
@@ -54,7 +54,9 @@
         self._admission = admission
         self._order = order
         self._cold_start = cold_start
-        self._idle_since: float | None = float("-inf")
+        self._idle_since = float("-inf")
+        # Idle time before the requests that run now, 0 once one of them was answered.
+        self._unproven_seconds = 0.0
 
     @property
     def outstanding(self) -> int:
@@ -63,11 +65,12 @@
 
     def bound(self, now: float) -> int:
         """Return how many requests may run at once now."""
-        return self._cold_start.bound(now, self._idle_since)
+        idle = self._unproven_seconds if self.running else now - self._idle_since
+        return self._cold_start.bound(now, idle)
 
     def cold(self, now: float) -> bool:
         """Return whether the bound is lowered because of a cold start."""
-        return self._cold_start.bound(now, None) < self.slots
+        return self._cold_start.bound(now, 0.0) < self.slots
 
     def offer(self, waiter: W, now: float) -> str | None:
         """Let a request wait.
@@ -75,8 +78,7 @@
         :return: The reason to refuse it, or ``None`` if it was admitted.
         """
         running = len(self.running)
-        bound = self._cold_start.bound(now, self._idle_since)
-        view = QueueView(running, len(self.waiting), bound, self.service_seconds)
+        view = QueueView(running, len(self.waiting), self.bound(now), self.service_seconds)
         reason = self._admission.refusal(view, now, waiter.deadline)
         if reason is None:
             waiter.arrived_at = now
@@ -86,13 +88,14 @@
     def start(self, now: float) -> W | None:
         """Return the next waiter that gets a slot, or ``None``."""
         waiting = self.waiting
-        if not waiting or len(self.running) >= self._cold_start.bound(now, self._idle_since):
+        if not waiting or len(self.running) >= self.bound(now):
             return None
         newest = self._order.newest_first(now - waiting[0].arrived_at)
         waiter = waiting.pop() if newest else waiting.popleft()
         waiter.sent_at = now
+        if not self.running:
+            self._unproven_seconds = now - self._idle_since
         self.running.append(waiter)
-        self._idle_since = None
         return waiter
 
     def expire(self, now: float, needed: float = 0.0) -> list[W]:
@@ -119,6 +122,7 @@
         if not self.running:
             self._idle_since = now
         if answered:
+            self._unproven_seconds = 0.0
             seconds = now - waiter.sent_at
             self.service_seconds += SERVICE_WEIGHT * (seconds - self.service_seconds)
 
--- a/radishshunt/policy/profile.py
+++ b/radishshunt/policy/profile.py
@@ -32,9 +32,7 @@
     """Makes the policies of one group's dispatcher."""
 
     @abstractmethod
-    def lane(
-        self, slots: int, cold_slots: int, cold_seconds: float, queue_limit: int
-    ) -> LaneState:
+    def lane(self, slots: int, cold_slots: int, cold_seconds: float, queue_limit: int) -> LaneState:
         """Return the state of a target's lane."""
 
     @abstractmethod
@@ -57,9 +55,7 @@
 class Adaptive(Profile):
     """The policies in use."""
 
-    def lane(
-        self, slots: int, cold_slots: int, cold_seconds: float, queue_limit: int
-    ) -> LaneState:
+    def lane(self, slots: int, cold_slots: int, cold_seconds: float, queue_limit: int) -> LaneState:
         return LaneState(
             slots,
             ExpectedWait(queue_limit),
@@ -83,9 +79,7 @@
 class Plain(Profile):
     """The baselines."""
 
-    def lane(
-        self, slots: int, cold_slots: int, cold_seconds: float, queue_limit: int
-    ) -> LaneState:
+    def lane(self, slots: int, cold_slots: int, cold_seconds: float, queue_limit: int) -> LaneState:
         return LaneState(slots, QueueLimit(queue_limit), Fifo(), Unbounded(slots))
 
     def balancing(self) -> Balancing:
