--- /dev/null
+++ b/radishshunt/experiment/profiles.py
@@ -0,0 +1,126 @@
+"""The sets of policies that experiments compare."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from radishshunt.placement.balanced import Balanced
+from radishshunt.placement.heat import HeatEstimator
+from radishshunt.placement.hot_keys import NoIsolation, SpaceSaving
+from radishshunt.placement.static_hash import StaticHash
+from radishshunt.policy.admission.expected_wait import ExpectedWait
+from radishshunt.policy.balancing.expected_wait import LeastExpectedWait
+from radishshunt.policy.balancing.reported_load import ReportedLoad
+from radishshunt.policy.cold_start.ramp import Ramp
+from radishshunt.policy.drain.staged import Staged
+from radishshunt.policy.hedging.budgeted import Budgeted
+from radishshunt.policy.hedging.never import Never
+from radishshunt.policy.lane_state import LaneState
+from radishshunt.policy.profile import Adaptive, Plain
+from radishshunt.policy.queueing.adaptive_lifo import AdaptiveLifo
+from radishshunt.policy.queueing.fifo import Fifo
+from radishshunt.policy.stragglers.observed import Observed
+
+if TYPE_CHECKING:
+    from radishshunt.placement import Placement
+    from radishshunt.placement.hot_keys import HotKeys
+    from radishshunt.policy.balancing import Balancing
+    from radishshunt.policy.drain import Drain
+    from radishshunt.policy.hedging import Hedging
+    from radishshunt.policy.profile import Profile
+    from radishshunt.policy.stragglers import StragglerDetector
+
+
+@dataclass(frozen=True, slots=True)
+class Constants:
+    """Constants that differ from the ones in use; each maps to a constructor's parameter."""
+
+    admission: dict[str, Any] = field(default_factory=dict)
+    order: dict[str, Any] = field(default_factory=dict)
+    ramp: dict[str, Any] = field(default_factory=dict)
+    stragglers: dict[str, Any] = field(default_factory=dict)
+    balancing: dict[str, Any] = field(default_factory=dict)
+    hedging: dict[str, Any] = field(default_factory=dict)
+    drain: dict[str, Any] = field(default_factory=dict)
+    placement: dict[str, Any] = field(default_factory=dict)
+    heat: dict[str, Any] = field(default_factory=dict)
+    hot_keys: dict[str, Any] = field(default_factory=dict)
+    fifo: bool = False
+    no_hedging: bool = False
+    no_isolation: bool = False
+
+
+class Varied(Adaptive):
+    """The policies in use with other constants."""
+
+    def __init__(self, constants: Constants) -> None:
+        self._c = constants
+
+    def lane(self, slots: int, cold_slots: int, cold_seconds: float, queue_limit: int) -> LaneState:
+        return LaneState(
+            slots,
+            ExpectedWait(queue_limit, **self._c.admission),
+            Fifo() if self._c.fifo else AdaptiveLifo(**self._c.order),
+            Ramp(slots, cold_slots, cold_seconds, **self._c.ramp),
+        )
+
+    def balancing(self) -> Balancing:
+        return LeastExpectedWait(**self._c.balancing)
+
+    def stragglers(self) -> StragglerDetector:
+        return Observed(**self._c.stragglers)
+
+    def hedging(self) -> Hedging:
+        return Never() if self._c.no_hedging else Budgeted(**self._c.hedging)
+
+    def drain(self) -> Drain:
+        return Staged(**self._c.drain)
+
+
+class PlainReported(Plain):
+    """The baselines, with the least reported load in place of round robin."""
+
+    def balancing(self) -> Balancing:
+        return ReportedLoad()
+
+
+@dataclass(frozen=True, slots=True)
+class Contender:
+    """One side of a comparison.
+
+    :param name: ``policy``, ``static`` or ``reported``.
+    """
+
+    name: str
+    constants: Constants = Constants()
+
+    @property
+    def adaptive(self) -> bool:
+        """Whether this is the policy and not a baseline."""
+        return self.name == "policy"
+
+    def profile(self) -> Profile:
+        """Return the dispatcher's policies."""
+        if self.adaptive:
+            return Varied(self.constants)
+        return PlainReported() if self.name == "reported" else Plain()
+
+    def placement(self) -> Placement:
+        """Return the placement of slices."""
+        return Balanced(**self.constants.placement) if self.adaptive else StaticHash()
+
+    def heat(self) -> HeatEstimator:
+        """Return the estimator of slice rates."""
+        return HeatEstimator(**self.constants.heat)
+
+    def hot_keys(self) -> HotKeys:
+        """Return the isolation of hot keys."""
+        if not self.adaptive or self.constants.no_isolation:
+            return NoIsolation()
+        return SpaceSaving(**self.constants.hot_keys)
+
+
+POLICY = Contender("policy")
+STATIC = Contender("static")
+REPORTED = Contender("reported")
--- a/radishshunt/placement/balanced.py
+++ b/radishshunt/placement/balanced.py
@@ -22,6 +22,8 @@
 STAY_SECONDS = 5.0
 # Unforced moves in one round. Each makes its keys wait for one fence, one write and one grant.
 MOVES_PER_ROUND = 24
+# Largest slice, relative to a target's mean load, of a target that can make room for a hot one.
+ROOM_SHARE = 0.25
 # Difference between two targets' utilisation, relative to the mean, that a slice changes its
 # group for. A move within a group writes one row instead of two.
 GROUP_PREFERENCE = 0.03
@@ -102,6 +104,25 @@
                 if to is not None:
                     return state.move(number, to, forced=False)
             full.add(source)
+            move = self._make_room(state, source, candidates, limit)
+            if move is not None:
+                return move
+
+    def _make_room(
+        self, state: _State, source: str, candidates: list[int], limit: float
+    ) -> Move | None:
+        """Move a hot slice to a target without hot slices, which is relieved of others next.
+
+        Without this, two hot slices on one target stay together: no other target has room for
+        either while its own small slices are in place.
+        """
+        for number in sorted(candidates, key=lambda n: (state.load(n), n)):
+            if number in state.moved or state.load(number) >= state.mean:
+                continue
+            to = state.roomiest(number, limit)
+            if to is not None:
+                return state.move(number, to, forced=False)
+        return None
 
 
 class _State:
@@ -158,6 +179,19 @@
                 best, best_use = place.name, after
         return best
 
+    def roomiest(self, number: int, limit: float) -> str | None:
+        """Return the least used target whose largest slice fits beside this one."""
+        best = None
+        for place in self._usable:
+            if place.capacity < 1.0 or place.name == self._owner[number]:
+                continue
+            largest = max((self.load(n) for n in self.owned[place.name]), default=0.0)
+            if largest > ROOM_SHARE * self.mean or largest + self.load(number) > limit:
+                continue
+            if best is None or self.used[place.name] < self.used[best]:
+                best = place.name
+        return best
+
     def move(self, number: int, to: str, *, forced: bool) -> Move:
         source = self._owner[number]
         load = self.load(number)
--- a/radishshunt/policy/stragglers/__init__.py
+++ b/radishshunt/policy/stragglers/__init__.py
@@ -16,6 +16,14 @@
     def on_report(self, target: str, load: float) -> None:
         """Take a target's own load report."""
 
+    @abstractmethod
+    def usual_seconds(self) -> float:
+        """Return the usual answer time of this group's targets, 0 if there is none yet."""
+
+    @abstractmethod
+    def on_usual(self, seconds: float) -> None:
+        """Take the usual answer time over all groups of the service."""
+
     @abstractmethod
     def slowness(self, target: str, in_flight_seconds: float = 0.0) -> float:
         """Return the target's service time divided by the usual one; 1.0 if not a straggler.
--- a/radishshunt/policy/stragglers/observed.py
+++ b/radishshunt/policy/stragglers/observed.py
@@ -19,6 +19,9 @@
 class Observed(StragglerDetector):
     """Averages answer times, and counts requests that have not been answered yet.
 
+    Two stragglers in a group of three would make a straggler's time the median, so the usual
+    time comes from all groups of the service as soon as it is known.
+
     Load reports are about 10 s late, so they name a straggler long after its queue is full.
     """
 
@@ -34,6 +37,7 @@
         self._averages: dict[str, float] = {}
         self._slow: set[str] = set()
         self._usual = 0.0
+        self._elsewhere = 0.0
         self._answers = 0
 
     def on_answer(self, target: str, seconds: float) -> None:
@@ -43,7 +47,7 @@
             self._answers = 0
         average = known + self._weight * (seconds - known)
         self._averages[target] = average
-        if self._answers % MEDIAN_EVERY == 0:
+        if self._answers % MEDIAN_EVERY == 0 and not self._elsewhere:
             self._usual = median(self._averages.values())
         self._answers += 1
         if average > self._enter * self._usual:
@@ -54,6 +58,13 @@
     def on_report(self, target: str, load: float) -> None:
         pass
 
+    def usual_seconds(self) -> float:
+        return median(self._averages.values()) if self._averages else 0.0
+
+    def on_usual(self, seconds: float) -> None:
+        self._elsewhere = seconds
+        self._usual = seconds
+
     def slowness(self, target: str, in_flight_seconds: float = 0.0) -> float:
         if self._usual <= 0:
             return 1.0
--- a/radishshunt/policy/stragglers/reported.py
+++ b/radishshunt/policy/stragglers/reported.py
@@ -22,6 +22,12 @@
     def on_report(self, target: str, load: float) -> None:
         self._loads[target] = load
 
+    def usual_seconds(self) -> float:
+        return 0.0
+
+    def on_usual(self, seconds: float) -> None:
+        pass
+
     def slowness(self, target: str, in_flight_seconds: float = 0.0) -> float:
         usual = median(self._loads.values()) if self._loads else 0.0
         ratio = self._loads.get(target, 0.0) / usual if usual > 0 else 1.0
