--- a/radishshunt/experiment/__init__.py
+++ b/radishshunt/experiment/__init__.py
@@ -1,3 +1,3 @@
-"""Experiments and measurements on simulated clocks."""
+"""Experiments with the decision code on a simulated clock."""
 
 from __future__ import annotations
