--- a/radishshunt/app.py
+++ b/radishshunt/app.py
@@ -13,6 +13,7 @@
 from radishshunt.clock import Clock, SystemClock
 from radishshunt.directory import Directory
 from radishshunt.dispatch.manager import DispatchManager
+from radishshunt.dispatch.takeover import Takeover
 from radishshunt.frontend import Frontend
 from radishshunt.membership import Membership
 from radishshunt.metrics import Metrics
@@ -68,6 +69,14 @@
         )
         self.membership = Membership(self.network, self.clock, self.describe, self._on_heartbeat)
         self.sync = Sync(self.directory, self.network, self.platform, self.clock, self._on_catalog)
+        self.takeover = Takeover(
+            HostRef(self.me.host, self.me.incarnation),
+            self.directory,
+            self.dispatch,
+            self.membership,
+            self.network,
+            self.clock,
+        )
         self.planning = Planning(
             self.me.host,
             self.directory,
@@ -75,6 +84,7 @@
             self.membership,
             self.sync,
             self.platform.table,
+            self.takeover,
         )
         self.router = Router(
             self.me.host, self.directory, self.dispatch, self.network, self.clock, self.metrics
@@ -185,6 +195,7 @@
                 "fetches": self.sync.run_fetches,
                 "platform": self.sync.run_platform,
                 "dispatch": self.dispatch.run,
+                "takeover": self.takeover.run,
                 "planner": self.planning.run,
                 "callers": self._serve_callers,
                 "admin": self._serve_admin,
@@ -201,7 +212,8 @@
 
     async def _wait_idle(self) -> None:
         with trio.move_on_after(self.cfg.limits.stop_seconds):
-            while self.frontend.running or any(g.load for g in self.dispatch.groups.values()):
+            await self.takeover.hand_over_all()
+            while self.frontend.running or self.dispatch.busy or self.dispatch.groups:
                 await trio.sleep(STOP_POLL_SECONDS)
 
     def _on_heartbeat(self, beat: Heartbeat) -> None:
--- a/radishshunt/dispatch/group.py
+++ b/radishshunt/dispatch/group.py
@@ -25,7 +25,7 @@
     from radishshunt.directory import Directory
     from radishshunt.dispatch.lane import Turn
     from radishshunt.model import GroupRow, Request
-    from radishshunt.ownership import Serving
+    from radishshunt.ownership_state import Serving
     from radishshunt.placement.load_report import GroupLoad
     from radishshunt.settings import LimitsSection
 
@@ -106,9 +106,25 @@
         """Return the targets that count as lost."""
         return self._grants.lost_targets()
 
-    def unsettled(self) -> dict[str, tuple[int, ...]]:
-        """Return the targets that a following generation has to fence, with their slices."""
-        return self._grants.unsettled()
+    @property
+    def grant_seconds(self) -> float:
+        """Length of a grant."""
+        return self._grant_seconds()
+
+    @property
+    def unchecked(self) -> frozenset[str]:
+        """Targets that check no fences."""
+        return self._grants.unchecked()
+
+    @property
+    def leased(self) -> bool:
+        """Whether the group has targets that check no fences, so that dispatching takes a lease."""
+        return bool(self.unchecked) and bool(self.row.slices)
+
+    @property
+    def grants(self) -> GrantKeeper:
+        """The group's grants."""
+        return self._grants
 
     def update_row(self, row: GroupRow, generation: int) -> None:
         """Go on under a new row."""
@@ -119,7 +135,7 @@
         self._grants.update_row(row, generation, self._grant_seconds())
 
     def stop(self) -> None:
-        """Stop renewing grants; :meth:`run` then ends."""
+        """Stop renewing grants and sending new requests; :meth:`run` then ends."""
         self._grants.deposed = True
         self._scope.cancel()
         self._notify()
--- a/radishshunt/dispatch/manager.py
+++ b/radishshunt/dispatch/manager.py
@@ -11,9 +11,11 @@
 from radishshunt.wire.messages import GroupState
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from radishshunt.clock import Clock
     from radishshunt.directory import Directory
-    from radishshunt.model import GroupId, HostRef
+    from radishshunt.model import GroupId, GroupRow, HostRef
     from radishshunt.settings import LimitsSection
 
 RECONCILE_INTERVAL_SECONDS = 0.2
@@ -35,7 +37,22 @@
         self._directory = directory
         self._limits = limits
         self._clock = clock
+        self._nursery: trio.Nursery | None = None
+        self._draining: list[GroupDispatcher] = []
         self.groups: dict[GroupId, GroupDispatcher] = {}
+        # For each group given up, the generation in use then and when. A host that was deposed or
+        # has handed over never uses that generation again.
+        self.ended: dict[GroupId, tuple[int, float]] = {}
+        # Returns the end of the dispatch lease for a row, in seconds since the Unix epoch.
+        self.lease_of: Callable[[GroupRow], float] | None = None
+        # Called when a running dispatcher goes on under a new row, with the row before.
+        self.on_replaced: Callable[[GroupDispatcher, GroupRow], Awaitable[None]] | None = None
+
+    @property
+    def busy(self) -> bool:
+        """Whether any request is queued or runs, also at dispatchers that have ended."""
+        self._draining = [dispatcher for dispatcher in self._draining if dispatcher.load]
+        return bool(self._draining) or any(g.load for g in self.groups.values())
 
     def states(self) -> list[GroupState]:
         """Return the groups that this host dispatches, for heartbeats."""
@@ -47,40 +64,66 @@
 
     async def run(self) -> None:
         """Follow the directory until cancelled."""
-        async with trio.open_nursery() as nursery:
-            while True:
-                self._reconcile(nursery)
-                with trio.move_on_after(RECONCILE_INTERVAL_SECONDS):
-                    await self._directory.wait_changed()
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                for dispatcher in self.groups.values():
+                    nursery.start_soon(dispatcher.run)
+                while True:
+                    self._reconcile()
+                    with trio.move_on_after(RECONCILE_INTERVAL_SECONDS):
+                        await self._directory.wait_changed()
+        finally:
+            self._nursery = None
+
+    def start(self, row: GroupRow, generation: int, reason: str) -> GroupDispatcher | None:
+        """Start dispatching a group.
+
+        :return: The dispatcher, or ``None`` if this host gave the generation up before.
+        """
+        if self._nursery is None or self.ended.get(row.group, (0, 0.0))[0] >= generation:
+            return None
+        dispatcher = GroupDispatcher(
+            row, generation, self._directory, self._limits, self._clock, self._local_address
+        )
+        dispatcher.grants.lease_of = self.lease_of
+        self.groups[row.group] = dispatcher
+        self._nursery.start_soon(dispatcher.run)
+        self._log(dispatcher, reason)
+        return dispatcher
+
+    def stop(self, group: GroupId, reason: str) -> None:
+        """Stop dispatching a group; its running requests go on."""
+        dispatcher = self.groups.pop(group)
+        self.ended[group] = (dispatcher.generation, self._clock.now())
+        dispatcher.stop()
+        self._draining.append(dispatcher)
+        self._log(dispatcher, reason)
 
-    def _reconcile(self, nursery: trio.Nursery) -> None:
+    def _reconcile(self) -> None:
         for group, row in self._directory.rows.items():
             running = self.groups.get(group)
+            if running is not None and running.deposed:
+                self.stop(group, "targets-fenced")
+                running = None
+            known = self._directory.dispatcher_of(group)
+            superseded = known is not None and known.host != self._me.host
+            if running is not None and superseded and known.generation > running.generation:
+                self.stop(group, "taken-over")
+                running = None
             if row.dispatcher == self._me:
-                if running is None:
-                    running = GroupDispatcher(
-                        row,
-                        row.generation,
-                        self._directory,
-                        self._limits,
-                        self._clock,
-                        self._local_address,
-                    )
-                    self.groups[group] = running
-                    nursery.start_soon(running.run)
-                    self._log(running, "row-names-this-host")
-                elif running.generation < row.generation:
+                if running is None and not (superseded and known.generation > row.generation):
+                    self.start(row, row.generation, "row-names-this-host")
+                elif running is not None and running.generation < row.generation:
+                    former = running.row
                     running.update_row(row, row.generation)
                     self._log(running, "new-row")
+                    if row.unfenced and former.dispatcher == self._me and self.on_replaced:
+                        self._nursery.start_soon(self.on_replaced, running, former)
             elif running is not None and running.generation < row.generation:
-                self._stop(group, "row-names-another-host")
+                self.stop(group, "row-names-another-host")
         for group in [g for g in self.groups if g not in self._directory.rows]:
-            self._stop(group, "service-withdrawn")
-
-    def _stop(self, group: GroupId, reason: str) -> None:
-        dispatcher = self.groups.pop(group)
-        dispatcher.stop()
-        self._log(dispatcher, reason)
+            self.stop(group, "service-withdrawn")
 
     def _log(self, dispatcher: GroupDispatcher, reason: str) -> None:
         decision(
--- a/radishshunt/emulator/target.py
+++ b/radishshunt/emulator/target.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import trio
 from quart import Response, request
 from quart_trio import QuartTrio
 
+from radishshunt.emulator.grants import Rejected, TargetGrants
 from radishshunt.model import new_incarnation
 
 if TYPE_CHECKING:
@@ -40,22 +41,6 @@
     ended_at: float = 0.0
 
 
-@dataclass(slots=True)
-class GroupFence:
-    """What a target remembers of a group.
-
-    :param generation: Lowest generation that it accepts.
-    :param slices: Epoch of each granted slice.
-    :param deadline: End of the grant, seconds since the Unix epoch.
-    """
-
-    generation: int = 0
-    granted_generation: int = 0
-    slices: dict[int, int] = field(default_factory=dict)
-    deadline: float = 0.0
-    held_standby: set[int] = field(default_factory=set)
-
-
 @dataclass(slots=True)
 class Behaviour:
     """How a target works, switchable at any time.
@@ -95,7 +80,6 @@
         self.most_at_once = 0
         self._clock = clock
         self._journal = journal
-        self._running: dict[str, tuple[tuple[str, int], int, int, float]] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self.restart()
         self.app = self._build_app()
@@ -103,7 +87,7 @@
     def restart(self) -> None:
         """Forget all grants and fences, as a new process would."""
         self.incarnation = new_incarnation()
-        self._groups: dict[tuple[str, int], GroupFence] = {}
+        self._grants = TargetGrants(self.incarnation)
 
     def _build_app(self) -> QuartTrio:
         app = QuartTrio(f"radishshunt.emulator.target.{self.name}", static_folder=None)
@@ -126,47 +110,40 @@
 
     async def _fence(self) -> Response:
         doc = await request.get_json()
-        key = (doc["service"], doc["group"])
-        fence = self._groups.setdefault(key, GroupFence())
-        if doc["generation"] < fence.generation:
-            return self._rejected("fenced")
-        fence.generation = doc["generation"]
-        busy = [
-            deadline
-            for group, generation, _slice, deadline in self._running.values()
-            if group == key and generation < doc["generation"]
-        ]
+        group = (doc["service"], doc["group"])
+        try:
+            result = self._grants.fence(group, doc["generation"], doc.get("slices", ()))
+        except Rejected as exc:
+            return self._rejected(exc.reason)
         return _json(
             {
                 "incarnation": self.incarnation,
-                "held_standby": sorted(fence.held_standby),
-                "busy_until": max(busy, default=0.0),
+                "held_standby": result.held_standby,
+                "busy": {str(number): deadline for number, deadline in result.busy.items()},
+                "busy_until": max(result.busy.values(), default=0.0),
             }
         )
 
     async def _grant(self) -> Response:
         doc = await request.get_json()
-        if doc["incarnation"] != self.incarnation:
-            return self._rejected("incarnation")
-        fence = self._groups.setdefault((doc["service"], doc["group"]), GroupFence())
-        generation = doc["generation"]
-        if generation < fence.generation:
-            return self._rejected("fenced")
-        if generation > fence.granted_generation:
-            fence.held_standby = set()
-            fence.deadline = 0.0
-        fence.generation = fence.granted_generation = generation
-        fence.slices = dict.fromkeys(doc["owned"], generation * 2)
-        fence.slices.update(dict.fromkeys(doc["taken_over"], generation * 2 + 1))
-        fence.held_standby.update(doc["taken_over"])
-        fence.deadline = max(fence.deadline, doc["deadline"])
+        try:
+            self._grants.grant(
+                (doc["service"], doc["group"]),
+                doc["generation"],
+                doc["incarnation"],
+                doc["owned"],
+                doc["taken_over"],
+                doc["deadline"],
+            )
+        except Rejected as exc:
+            return self._rejected(exc.reason)
         return _json({"incarnation": self.incarnation})
 
     async def _health(self) -> Response:
         return _json({"status": "ok", "incarnation": self.incarnation})
 
     async def _load(self) -> Response:
-        return _json({"running": len(self._running), "slots": self.slots})
+        return _json({"running": self._grants.running, "slots": self.slots})
 
     async def _cancel(self, request_id: str) -> Response:
         scope = self._scopes.get(request_id)
@@ -188,8 +165,9 @@
         group = (headers.get("Radishshunt-Service", ""), int(headers.get("Radishshunt-Group", "0")))
         epoch = int(headers.get("Radishshunt-Epoch", "0"))
         number = int(headers.get("Radishshunt-Slice", "-1"))
-        self._running[request_id] = (group, epoch // 2, number, deadline)
-        self.most_at_once = max(self.most_at_once, len(self._running))
+        grants = self._grants
+        grants.start(request_id, group, number if number >= 0 else None, epoch, deadline)
+        self.most_at_once = max(self.most_at_once, grants.running)
         scope = self._scopes[request_id] = trio.CancelScope(
             deadline=trio.current_time() + max(0.0, deadline - self._clock.now())
         )
@@ -199,7 +177,7 @@
             with scope:
                 await trio.sleep(self.behaviour.service_seconds * self.behaviour.slowdown)
         finally:
-            del self._running[request_id]
+            grants.finish(request_id)
             del self._scopes[request_id]
             self._write_journal("end", request_id, headers, number)
         execution = Execution(
@@ -254,17 +232,13 @@
             return "deadline"
         if not self.checks_fences or "Radishshunt-Epoch" not in headers:
             return None
-        key = (headers["Radishshunt-Service"], int(headers["Radishshunt-Group"]))
-        fence = self._groups.get(key)
-        epoch = int(headers["Radishshunt-Epoch"])
-        if fence is None or self._clock.now() >= fence.deadline:
-            return "no-grant"
-        if epoch // 2 != fence.generation or fence.granted_generation != fence.generation:
-            return "wrong-epoch"
         number = headers.get("Radishshunt-Slice")
-        if number is not None and fence.slices.get(int(number)) != epoch:
-            return "wrong-epoch"
-        return None
+        return self._grants.refusal(
+            (headers["Radishshunt-Service"], int(headers["Radishshunt-Group"])),
+            int(number) if number is not None else None,
+            int(headers["Radishshunt-Epoch"]),
+            self._clock.now(),
+        )
 
     def _rejected(self, reason: str) -> Response:
         resp = _json({"reason": reason, "incarnation": self.incarnation})
--- a/radishshunt/membership.py
+++ b/radishshunt/membership.py
@@ -8,7 +8,7 @@
 
 from radishshunt.errors import PeerUnavailable
 from radishshunt.model import HostInfo
-from radishshunt.wire.messages import Heartbeat
+from radishshunt.wire.messages import Heartbeat, Probe, ProbeAnswer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,6 +22,10 @@
 HEARTBEAT_TIMEOUT_SECONDS = 0.5
 # Silence after which a host counts as lost.
 LOST_AFTER_SECONDS = 0.7
+CONFIRM_TIMEOUT_SECONDS = 0.4
+# Other hosts that have to report no contact, where there are as many.
+REPORTS_NEEDED = 2
+PROBED_HOSTS = 5
 
 
 class Membership:
@@ -44,12 +48,48 @@
         self._on_heartbeat = on_heartbeat
         self._heard_at: dict[str, float] = {}
         self._last: dict[str, Heartbeat] = {}
+        self._answered_at: dict[str, float] = {}
         network.register(Heartbeat, self._answer)
+        network.register(Probe, self._answer_probe)
 
     def heard_at(self, host: str) -> float:
         """Return when a host was last heard, in seconds since the Unix epoch; 0 for never."""
         return self._heard_at.get(host, 0.0)
 
+    def answered_at(self, host: str) -> float:
+        """Return when the last heartbeat that a host has answered was sent; 0 for never."""
+        return self._answered_at.get(host, 0.0)
+
+    async def confirmed_lost(self, host: str) -> bool:
+        """Return whether this host and two others have no contact with a host.
+
+        Where fewer than two others are live, all of them have to report no contact.
+        """
+        if self.is_live(host):
+            return False
+        me = self._network.me.host
+        others = [i.host for i in self.live_hosts() if i.host not in (me, host)][:PROBED_HOSTS]
+        reports: list[bool] = []
+        with trio.move_on_after(CONFIRM_TIMEOUT_SECONDS):
+            async with trio.open_nursery() as nursery:
+                for other in others:
+                    nursery.start_soon(self._ask, other, host, reports)
+        needed = min(REPORTS_NEEDED, len(others))
+        lost, seen = reports.count(False), reports.count(True)
+        return lost >= needed and seen < REPORTS_NEEDED and not self.is_live(host)
+
+    async def _ask(self, other: str, host: str, reports: list[bool]) -> None:
+        try:
+            answer = await self._network.call(other, Probe(host), CONFIRM_TIMEOUT_SECONDS)
+        except PeerUnavailable:
+            return
+        if isinstance(answer, ProbeAnswer):
+            reports.append(self._clock.now() - answer.heard_at <= LOST_AFTER_SECONDS)
+
+    async def _answer_probe(self, _conn: PeerConnection, stream: Stream, msg: Message) -> None:
+        assert isinstance(msg, Probe)
+        await stream.send(ProbeAnswer(self.heard_at(msg.host)))
+
     def is_live(self, host: str) -> bool:
         """Return whether a host was heard within :data:`LOST_AFTER_SECONDS`."""
         if host == self._network.me.host:
@@ -80,10 +120,12 @@
     async def _beat(self, host: str) -> None:
         while True:
             if host in self._network.hosts:
+                sent_at = self._clock.now()
                 try:
                     answer = await self._network.call(
                         host, self._describe(), HEARTBEAT_TIMEOUT_SECONDS
                     )
+                    self._answered_at[host] = sent_at
                     self._receive(answer)
                 except PeerUnavailable:
                     pass
--- a/radishshunt/ownership.py
+++ b/radishshunt/ownership.py
@@ -36,15 +36,22 @@
     :param row: Row that names owners and standbys.
     :param generation: The row's generation, or one more for the standby dispatcher.
     :param grant_seconds: Length of a grant.
+    :param unchecked: Targets that check no fences. Where another host may have sent to them, they
+        take no grant before that host is known to have stopped.
     """
 
-    def __init__(self, row: GroupRow, generation: int, grant_seconds: float) -> None:
+    def __init__(
+        self,
+        row: GroupRow,
+        generation: int,
+        grant_seconds: float,
+        unchecked: frozenset[str] = frozenset(),
+    ) -> None:
+        self.unchecked = unchecked
         self.row = row
         self.generation = generation
         self._grant_seconds = grant_seconds
         self._sequence = 0
-        self._rivals_end: float | None = None
-        self._rivals_end_of: Mapping[str, float] = {}
         self._bundles = build_bundles(row)
         self._bundle_of = {number: b for b in self._bundles for number in b.slices}
         names = set(row.targets) | set(row.unfenced)
@@ -86,8 +93,9 @@
         """Return when the next command may be due, in seconds since the Unix epoch."""
         times = [state.next_command_at for state in self._targets.values()]
         times += self._held_back.values()
-        if self._rivals_end is not None and any(b.step is None for b in self._bundles):
-            times.append(self._rivals_end + CLOCK_SKEW_BOUND)
+        for bundle in self._bundles:
+            if bundle.step is None and bundle.rivals_end is not None:
+                times.append(bundle.rivals_end + CLOCK_SKEW_BOUND)
         for bundle in self._bundles:
             if bundle.step == 0 and bundle.standby and self._targets[bundle.owner].failing_since:
                 since = self._targets[bundle.owner].failing_since
@@ -131,6 +139,8 @@
         state = self._targets[command.target]
         if command.incarnation != state.incarnation:
             return
+        if state.failing_since:
+            state.next_command_at = now
         state.failing_since = 0.0
         state.last_sent = max(state.last_sent, command.sequence)
         if command.deadline >= state.acked_deadline:
@@ -138,9 +148,16 @@
             state.acked_steps = command.steps
         self._note_pairs(command.target)
 
-    def on_failure(self, target: str, now: float) -> None:
-        """Take the news that a command got no answer."""
-        state = self._targets[target]
+    def on_failure(self, command: Fence | Grant, now: float, *, sent: bool = True) -> None:
+        """Take the news that a command got no answer.
+
+        :param sent: Whether the target may have received it.
+        """
+        state = self._targets[command.target]
+        if isinstance(command, Grant) and not sent:
+            for item in (state, *self._bundles_of[command.target]):
+                if item.sent_deadline == command.deadline:
+                    item.sent_deadline = item.former_deadline
         state.failing_since = state.failing_since or now
         state.next_command_at = min(state.next_command_at, now + RETRY_INTERVAL_SECONDS)
 
@@ -155,16 +172,22 @@
             state.next_command_at = now
 
     def on_rivals_stopped(
-        self, latest_deadline: float, deadline_of: Mapping[str, float] | None = None
+        self,
+        latest_deadline: float,
+        deadline_of: Mapping[str, float] | None = None,
+        slices: frozenset[int] | None = None,
     ) -> None:
         """Take the news that no other host grants under a lower generation any more.
 
         :param latest_deadline: End of the last grant that another host may have issued, seconds
             since the Unix epoch.
         :param deadline_of: The same for single targets; 0 if one never had a grant.
+        :param slices: Slices that this holds for, by default all.
         """
-        self._rivals_end = max(latest_deadline, self._rivals_end or 0.0)
-        self._rivals_end_of = deadline_of or {}
+        for bundle in self._bundles:
+            if slices is None or bundle.slices <= slices:
+                bundle.rivals_end = latest_deadline
+                bundle.rivals_end_of = deadline_of or {}
 
     def serving(self, number: int | None, now: float) -> Serving | None:
         """Return who may serve a slice now, or ``None`` if nobody holds a valid grant."""
@@ -173,7 +196,11 @@
             return None
         state = self._targets[bundle.server]
         granted = state.acked_steps.get(number) == bundle.step
-        if not granted or not bundle.may_grant(bundle.server, state.incarnation):
+        if (
+            not granted
+            or state.failed(now)
+            or not bundle.may_grant(bundle.server, state.incarnation)
+        ):
             return None
         return self._serving_target(bundle.server, bundle.step, now)
 
@@ -193,6 +220,10 @@
         """Return the slices that no target can serve again under this generation."""
         return frozenset(n for b in self._bundles if self._stranded(b, now) for n in b.slices)
 
+    def begun_slices(self) -> frozenset[int]:
+        """Return the slices for which the fences before the first grant are complete."""
+        return frozenset(n for b in self._bundles if b.step is not None for n in b.slices)
+
     def latest_deadlines(self) -> dict[str, float]:
         """Return the end of the last grant sent to each target, 0 for none."""
         return {name: state.sent_deadline for name, state in self._targets.items()}
@@ -207,7 +238,8 @@
         pending: dict[str, set[int]] = defaultdict(set)
         for bundle in self._bundles:
             names = self._unsettled_names(bundle, now, rivals_stopped)
-            self._bar(bundle, bundle.names - names)
+            # Bars add up, since an earlier row may still be written after its answer was lost.
+            self._bar(bundle, bundle.barred | (bundle.names - names))
             for name in names:
                 pending[name] |= bundle.slices
         return {name: tuple(sorted(numbers)) for name, numbers in sorted(pending.items())}
@@ -225,8 +257,8 @@
     def _unsettled_names(self, bundle: Bundle, now: float, rivals_stopped: bool) -> set[str]:
         if bundle.step is None:
             if self.taken_over or not rivals_stopped:
-                return {n for n in bundle.names if not self._rivals_ended(n, now)}
-            return {n for n in bundle.former if not self._rivals_ended(n, now)}
+                return {n for n in bundle.names if not self._rivals_ended(bundle, n, now)}
+            return {n for n in bundle.former if not self._rivals_ended(bundle, n, now)}
         if not self.taken_over and not rivals_stopped:
             return bundle.names - (bundle.former - {bundle.owner, bundle.standby})
         names = set()
@@ -257,11 +289,15 @@
             # Targets without slices are asked for signs of life, so that a loss is noticed.
             return self._fence(name)
         deadline = now + self._grant_seconds
-        state.sent_deadline = max(state.sent_deadline, deadline)
+        if state.failing_since and state.sent_deadline > now:
+            # A repeated renewal has the deadline of the one that failed. Otherwise each attempt
+            # to reach a lost target would put off the failover.
+            deadline = state.sent_deadline
+        state.note_sent(deadline)
         state.granted = True
         for bundle in self._bundles_of[name]:
             if bundle.may_grant(name, state.incarnation):
-                bundle.sent_deadline = max(bundle.sent_deadline, deadline)
+                bundle.note_sent(deadline)
         self._sequence += 1
         return Grant(name, self.generation, state.incarnation, steps, deadline, self._sequence)
 
@@ -322,11 +358,11 @@
             if paired and owner.incarnation == bundle.bound[bundle.owner]:
                 bundle.standby_bound = self._targets[bundle.standby].incarnation
 
-    def _rivals_ended(self, name: str, now: float) -> bool:
+    def _rivals_ended(self, bundle: Bundle, name: str, now: float) -> bool:
         """Return whether all grants of other hosts under lower generations have expired."""
-        if self._rivals_end is None:
+        if bundle.rivals_end is None:
             return False
-        return now > self._rivals_end_of.get(name, self._rivals_end) + CLOCK_SKEW_BOUND
+        return now > bundle.rivals_end_of.get(name, bundle.rivals_end) + CLOCK_SKEW_BOUND
 
     def _advance(self, now: float) -> None:
         for number in [n for n, until in self._held_back.items() if now > until]:
@@ -339,6 +375,8 @@
                 self._serve_from(bundle, 1, now)
 
     def _begin(self, bundle: Bundle, now: float) -> None:
+        if self._waits_for_rivals(bundle, now):
+            return
         rest = self._split_held(bundle, now) if self.taken_over else bundle
         if rest is None or bundle.owner not in self._targets:
             return
@@ -359,9 +397,14 @@
         Expired grants need no fence. But the dispatcher that the row names always fences owner
         and standby, since the standby dispatcher may already use its own generation.
         """
-        names = {n for n in bundle.names if not self._rivals_ended(n, now)}
+        names = {n for n in bundle.names if not self._rivals_ended(bundle, n, now)}
         return names if self.taken_over else names | (bundle.names - bundle.former)
 
+    def _waits_for_rivals(self, bundle: Bundle, now: float) -> bool:
+        """Return whether a target that checks no fences may still get another host's requests."""
+        exposed = self.unchecked & (bundle.names if self.taken_over else bundle.former)
+        return any(not self._rivals_ended(bundle, name, now) for name in exposed)
+
     def _split_held(self, bundle: Bundle, now: float) -> Bundle | None:
         """Serve the slices for which the standby has held a step-1 grant from the standby.
 
--- a/radishshunt/ownership_state.py
+++ b/radishshunt/ownership_state.py
@@ -75,6 +75,7 @@
     busy: dict[int, float] = field(default_factory=dict)
     granted: bool = False
     sent_deadline: float = 0.0
+    former_deadline: float = 0.0
     acked_deadline: float = 0.0
     acked_steps: Mapping[int, int] = field(default_factory=dict)
     steps: dict[int, int] | None = None
@@ -86,6 +87,11 @@
         """Whether the present incarnation has acknowledged a fence."""
         return self.first_ack > 0
 
+    def note_sent(self, deadline: float) -> None:
+        """Note that a grant is being sent."""
+        if deadline > self.sent_deadline:
+            self.former_deadline, self.sent_deadline = self.sent_deadline, deadline
+
     def rebind(self, incarnation: int, sequence: int) -> None:
         """Forget what was granted to the incarnation before.
 
@@ -113,6 +119,10 @@
     :ivar bound: Incarnation of each target that the fences before the first grant have proved.
     :ivar standby_bound: Incarnation of the standby that was fenced at the same time as the owner.
     :ivar sent_deadline: End of the last grant sent to the target that serves.
+    :ivar former_deadline: End of the grant before, in force if the last one never left.
+    :ivar rivals_end: End of the last grant by another host under a lower generation, once no
+        other host grants any more.
+    :ivar rivals_end_of: The same for single targets.
     :ivar barred: Targets that a row being written leaves unfenced; they may not be granted.
     """
 
@@ -124,6 +134,9 @@
     bound: dict[str, int] = field(default_factory=dict)
     standby_bound: int = 0
     sent_deadline: float = 0.0
+    former_deadline: float = 0.0
+    rivals_end: float | None = None
+    rivals_end_of: Mapping[str, float] = field(default_factory=dict)
     barred: frozenset[str] = frozenset()
 
     @property
@@ -139,6 +152,11 @@
         pair = {self.owner} if self.standby is None else {self.owner, self.standby}
         return pair | self.former
 
+    def note_sent(self, deadline: float) -> None:
+        """Note that a grant is being sent."""
+        if deadline > self.sent_deadline:
+            self.former_deadline, self.sent_deadline = self.sent_deadline, deadline
+
     def may_grant(self, name: str, incarnation: int) -> bool:
         """Return whether a run of a target may be granted the slices."""
         bound = self.bound.get(name) == incarnation
@@ -152,7 +170,7 @@
         elif self.standby:
             self.bound[self.standby] = targets[self.standby].incarnation
         self.step = step
-        self.sent_deadline = 0.0
+        self.sent_deadline = self.former_deadline = 0.0
 
 
 def epoch_of(generation: int, step: int) -> int:
--- a/radishshunt/planner.py
+++ b/radishshunt/planner.py
@@ -1,4 +1,4 @@
-"""New rows of groups from the catalog, the live hosts and the rows in force."""
+"""New rows of groups from the catalog, the live hosts and the rows in force, free of I/O."""
 
 from __future__ import annotations
 
@@ -6,15 +6,21 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
+from radishshunt.assignment import assign
 from radishshunt.model import GroupId, GroupRow, HostRef, SliceAssignment
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping, Sequence
+    from collections.abc import Iterable, Mapping, Sequence
 
     from radishshunt.model import HostInfo
     from radishshunt.release.catalog import Catalog, ServiceSpec
 
 TARGETS_PER_GROUP = 3
+MOST_TARGETS_PER_GROUP = 4
+# A group gives slices to another one if it has this much more than the mean for each target, and
+# the other this much less. The gap keeps rounding from moving slices back and forth.
+GIVING_RATIO = 1.2
+TAKING_RATIO = 0.85
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,52 +29,195 @@
 
     :param hosts: Live hosts that are not leaving.
     :param lost: Targets that their dispatcher counts as lost.
-    :param unsettled: For groups dispatched by the planning host, what its ownership state says
-        has to be fenced; for other groups the planner assumes the most.
+    :param moved: For groups dispatched by the planning host, the slices that standbys serve.
     """
 
     catalog: Catalog
     hosts: Sequence[HostInfo]
-    rows: dict[GroupId, GroupRow]
+    rows: Mapping[GroupId, GroupRow]
     lost: frozenset[str] = frozenset()
-    unsettled: dict[GroupId, dict[str, tuple[int, ...]]] = field(default_factory=dict)
+    moved: Mapping[GroupId, frozenset[int]] = field(default_factory=dict)
 
     def usable(self, target: str) -> bool:
         """Return whether a target can own slices."""
         return self.catalog.takes_work(target) and target not in self.lost
 
+    def live_refs(self) -> set[HostRef]:
+        """Return the live runs of hosts."""
+        return {HostRef(info.host, info.incarnation) for info in self.hosts}
 
-def plan(view: View) -> list[GroupRow]:
-    """Return the rows that have to change, each with its next generation.
+    def rows_of(self, service: str) -> dict[GroupId, GroupRow]:
+        """Return a service's rows in order of their groups."""
+        return {g: row for g, row in sorted(self.rows.items()) if g.service == service}
 
-    :param view: What is known; the same view gives the same rows.
-    """
+
+def plan_new_groups(view: View) -> list[GroupRow]:
+    """Return the first rows of services that have none, and rows of additional groups."""
     if not view.hosts:
         return []
-    dispatch_counts = Counter(row.dispatcher.host for row in view.rows.values())
-    changed = []
+    counts = _host_counts(view)
+    created = []
     for name in sorted(view.catalog.services):
         service = view.catalog.services[name]
-        rows = {g: r for g, r in view.rows.items() if g.service == name}
+        rows = view.rows_of(name)
         if not rows:
-            changed += _first_rows(view, service, dispatch_counts)
-        else:
-            changed += _repaired_rows(view, service, rows, dispatch_counts)
-    return changed
+            created += _first_rows(view, service, counts)
+            continue
+        crowded = _homeless(view, name)[_free_places(view, rows) :]
+        if len(crowded) >= TARGETS_PER_GROUP:
+            group = GroupId(name, max(rows).group + 1)
+            names = tuple(crowded[:MOST_TARGETS_PER_GROUP])
+            created.append(_first_row(view, group, names, (), counts))
+    return created
 
 
-def plan_row(view: View, row: GroupRow, targets: tuple[str, ...]) -> GroupRow:
-    """Return a group's row for a set of targets, with the same generation if nothing changes.
+def plan_group(view: View, group: GroupId) -> GroupRow | None:
+    """Return a group's next row, or ``None`` if the present one is right.
 
-    :param targets: Targets that the group shall have.
+    :param group: Group that the planning host dispatches or repairs.
     """
+    row = view.rows[group]
+    if not view.hosts or group.service not in view.catalog.services:
+        return None
+    targets = _members(view, row)
+    usable = [name for name in targets if view.usable(name)]
+    slices: Mapping[int, SliceAssignment] = row.slices
+    if row.slices and usable:
+        domain_of = {name: view.catalog.targets[name].domain for name in usable}
+        slices = assign(row.slices, usable, domain_of, view.moved.get(group, frozenset()))
+        # Owners that take no work stay listed until another target is usable.
+    dispatcher, standby = _hosts_of(view, row, targets)
+    following = replace(
+        row,
+        generation=row.generation + 2,
+        dispatcher=dispatcher,
+        standby_dispatcher=standby,
+        targets=_with_owners(targets, slices, row.targets),
+        slices=slices,
+    )
+    same = replace(following, generation=row.generation) == row
+    return None if same else following
+
+
+def plan_exchange(view: View, group: GroupId) -> tuple[GroupRow, GroupRow] | None:
+    """Return the next rows of a group and of one that takes slices from it, if any should.
+
+    :param group: Group that the planning host dispatches.
+    """
+    row = view.rows[group]
+    if not row.slices:
+        return None
+    capacity = {
+        g: sum(view.usable(name) for name in _members(view, other))
+        for g, other in view.rows_of(group.service).items()
+    }
+    total, targets = sum(len(view.rows[g].slices) for g in capacity), sum(capacity.values())
+    takers = [g for g in capacity if g != group and capacity[g]]
+    if not takers or not targets:
+        return None
+    mean = total / targets
+    taker = min(takers, key=lambda g: (len(view.rows[g].slices) / capacity[g], g))
+    excess = len(row.slices) - int(mean * capacity[group])
+    room = int(mean * capacity[taker]) - len(view.rows[taker].slices)
+    if capacity[group]:
+        crowded = len(row.slices) > GIVING_RATIO * mean * capacity[group]
+        if not crowded or len(view.rows[taker].slices) > TAKING_RATIO * mean * capacity[taker]:
+            return None
+    else:
+        room = max(room, 1 + len(row.slices) // len(takers))
+    number = min(excess, room)
+    return _exchange(view, row, view.rows[taker], number) if number > 0 else None
+
+
+def former_targets(row: GroupRow, numbers: Iterable[int]) -> dict[str, set[int]]:
+    """Return all targets that may hold grants for slices, if nothing else is known."""
+    wanted = set(numbers)
+    pending = {name: set(held) & wanted for name, held in row.unfenced.items()}
+    for number in wanted & set(row.slices):
+        pair = row.slices[number]
+        for name in (pair.owner, pair.standby):
+            if name:
+                pending.setdefault(name, set()).add(number)
+    return {name: held for name, held in sorted(pending.items()) if held}
+
+
+def merge_unfenced(*parts: Mapping[str, Iterable[int]]) -> dict[str, tuple[int, ...]]:
+    """Return the union of several maps from targets to slices."""
+    merged: dict[str, set[int]] = {}
+    for part in parts:
+        for name, numbers in part.items():
+            merged.setdefault(name, set()).update(numbers)
+    return {name: tuple(sorted(held)) for name, held in sorted(merged.items()) if held}
+
+
+def _exchange(view: View, row: GroupRow, taker: GroupRow, number: int) -> tuple[GroupRow, GroupRow]:
+    moving = frozenset(sorted(row.slices)[-number:])
+    generation = max(row.generation, taker.generation) + 2
+    kept = {n: pair for n, pair in row.slices.items() if n not in moving}
+    targets = _members(view, taker)
     usable = [name for name in targets if view.usable(name)]
     domain_of = {name: view.catalog.targets[name].domain for name in usable}
-    slices = _assign(row.slices, usable, domain_of)
-    following = replace(row, targets=targets, slices=slices)
-    if following == row:
-        return row
-    return replace(following, generation=row.generation + 2, unfenced=_unfenced(view, row, slices))
+    unassigned = dict(taker.slices.items()) | dict.fromkeys(moving, SliceAssignment("", None))
+    slices = assign(unassigned, usable, domain_of, frozenset())
+    return (
+        replace(row, generation=generation, slices=kept),
+        replace(
+            taker,
+            generation=generation,
+            slices=slices,
+            targets=_with_owners(targets, slices, taker.targets),
+        ),
+    )
+
+
+def _with_owners(
+    targets: Sequence[str], slices: Mapping[int, SliceAssignment], former: Sequence[str]
+) -> tuple[str, ...]:
+    """Return a group's targets, with former ones that still own slices."""
+    owners = {pair.owner for pair in slices.values()}
+    return (*targets, *(n for n in former if n in owners and n not in targets))
+
+
+def _members(view: View, row: GroupRow) -> tuple[str, ...]:
+    """Return a group's listed targets and the new ones that join it."""
+    listed = view.catalog.targets
+    service = row.group.service
+    members = [n for n in row.targets if n in listed and listed[n].service == service]
+    return (*members, *_joining(view, service).get(row.group, ()))
+
+
+def _homeless(view: View, service: str) -> list[str]:
+    housed = {name for row in view.rows_of(service).values() for name in row.targets}
+    names = [t.name for t in view.catalog.targets_of(service) if t.name not in housed]
+    return sorted(names, key=lambda name: (view.catalog.targets[name].domain, name))
+
+
+def _free_places(view: View, rows: Mapping[GroupId, GroupRow]) -> int:
+    sizes = (sum(n in view.catalog.targets for n in row.targets) for row in rows.values())
+    return sum(max(0, MOST_TARGETS_PER_GROUP - size) for size in sizes)
+
+
+def _joining(view: View, service: str) -> dict[GroupId, list[str]]:
+    """Return the new targets that join each group: the smallest, one without their domain."""
+    rows = view.rows_of(service)
+    members = {g: [n for n in row.targets if n in view.catalog.targets] for g, row in rows.items()}
+    joining: dict[GroupId, list[str]] = {}
+    homeless = _homeless(view, service)
+    own_group = len(homeless) - _free_places(view, rows) >= TARGETS_PER_GROUP
+    for name in homeless:
+        domain = view.catalog.targets[name].domain
+
+        def rank(g: GroupId, domain: str = domain) -> tuple[int, int, GroupId]:
+            same = sum(view.catalog.targets[n].domain == domain for n in members[g])
+            return len(members[g]), same, g
+
+        best = min(members, key=rank)
+        # Enough targets without a place form a group of their own; a few fit in with the others.
+        if len(members[best]) >= MOST_TARGETS_PER_GROUP and own_group:
+            continue
+        members[best].append(name)
+        joining.setdefault(best, []).append(name)
+    return joining
 
 
 def _first_rows(view: View, service: ServiceSpec, counts: Counter[str]) -> list[GroupRow]:
@@ -91,127 +240,64 @@
 
 
 def _first_row(
-    view: View, group: GroupId, names: tuple[str, ...], numbers: range, counts: Counter[str]
+    view: View,
+    group: GroupId,
+    names: tuple[str, ...],
+    numbers: Iterable[int],
+    counts: Counter[str],
 ) -> GroupRow:
     domain_of = {name: view.catalog.targets[name].domain for name in names}
-    dispatcher, standby = _pick_hosts(view, names, counts)
+    dispatcher = _pick_host(view, names, counts, avoid=None)
+    counts[dispatcher.host] += 1
     unassigned = {number: SliceAssignment("", None) for number in numbers}
     return GroupRow(
         group=group,
         generation=2,
         dispatcher=dispatcher,
-        standby_dispatcher=standby,
+        standby_dispatcher=_pick_host(view, names, counts, avoid=dispatcher.host),
         targets=names,
-        slices=_assign(unassigned, list(names), domain_of),
+        slices=assign(unassigned, list(names), domain_of, frozenset()),
     )
 
 
-def _repaired_rows(
-    view: View, service: ServiceSpec, rows: dict[GroupId, GroupRow], counts: Counter[str]
-) -> list[GroupRow]:
-    listed = {t.name for t in view.catalog.targets_of(service.name)}
-    members = {g: [n for n in row.targets if n in listed] for g, row in rows.items()}
-    homeless = sorted(listed - {n for names in members.values() for n in names})
-    for name in homeless:
-        smallest = min(members, key=lambda g: (len(members[g]), g))
-        members[smallest].append(name)
-    live = {HostRef(h.host, h.incarnation) for h in view.hosts}
-    changed = []
-    for group, row in sorted(rows.items()):
-        following = plan_row(view, row, tuple(members[group]))
-        if row.dispatcher not in live or row.standby_dispatcher not in live:
-            following = _with_hosts(view, row, following, live, counts)
-        if following is not row:
-            changed.append(following)
-    return changed
-
-
-def _with_hosts(
-    view: View, row: GroupRow, following: GroupRow, live: set[HostRef], counts: Counter[str]
-) -> GroupRow:
-    dispatcher, standby = _pick_hosts(view, row.targets, counts)
-    if row.dispatcher in live:
-        dispatcher = row.dispatcher
-        standby = _pick_standby(view, dispatcher.host, counts)
-    elif row.standby_dispatcher in live:
-        dispatcher = row.standby_dispatcher
-        standby = _pick_standby(view, dispatcher.host, counts)
-    if (dispatcher, standby) == (row.dispatcher, row.standby_dispatcher):
-        return following
-    return replace(
-        following,
-        generation=row.generation + 2,
-        dispatcher=dispatcher,
-        standby_dispatcher=standby,
-        unfenced=_unfenced(view, row, following.slices),
-    )
+def _host_counts(view: View) -> Counter[str]:
+    return Counter(row.dispatcher.host for row in view.rows.values())
 
 
-def _pick_hosts(
-    view: View, names: Sequence[str], counts: Counter[str]
-) -> tuple[HostRef, HostRef | None]:
-    """Pick the least used hosts, outside the targets' domains where possible."""
-    in_domain = Counter(
-        view.catalog.targets[name].domain for name in names if name in view.catalog.targets
-    )
-    best = min(view.hosts, key=lambda h: (in_domain[h.domain], counts[h.host], h.host))
-    counts[best.host] += 1
-    return HostRef(best.host, best.incarnation), _pick_standby(view, best.host, counts)
+def _hosts_of(view: View, row: GroupRow, targets: Sequence[str]) -> tuple[HostRef, HostRef | None]:
+    """Return a group's dispatchers, keeping those that are live."""
+    live = view.live_refs()
+    counts = _host_counts(view)
+    dispatcher, standby = row.dispatcher, row.standby_dispatcher
+    if dispatcher not in live:
+        if standby in live:
+            dispatcher, standby = standby, None
+        else:
+            dispatcher = _pick_host(view, targets, counts, avoid=None)
+    if standby not in live or standby.host == dispatcher.host:
+        standby = _pick_host(view, targets, counts, avoid=dispatcher.host)
+    return dispatcher, standby
 
 
-def _pick_standby(view: View, dispatcher: str, counts: Counter[str]) -> HostRef | None:
-    domain_of = {h.host: h.domain for h in view.hosts}
-    others = [h for h in view.hosts if h.host != dispatcher]
-    if not others:
-        return None
+def _pick_host(
+    view: View, targets: Sequence[str], counts: Counter[str], avoid: str | None
+) -> HostRef | None:
+    """Pick the host with the fewest groups, outside the targets' domains where possible.
+
+    :param avoid: Host whose domain the picked one should not share, and which it can't be.
+    """
+    domain_of = {info.host: info.domain for info in view.hosts}
+    listed = view.catalog.targets
+    in_domain = Counter(listed[name].domain for name in targets if name in listed)
+    others = [info for info in view.hosts if info.host != avoid]
     best = min(
-        others, key=lambda h: (h.domain == domain_of.get(dispatcher), counts[h.host], h.host)
+        others,
+        key=lambda h: (
+            avoid is not None and h.domain == domain_of.get(avoid),
+            in_domain[h.domain],
+            counts[h.host],
+            h.host,
+        ),
+        default=None,
     )
-    return HostRef(best.host, best.incarnation)
-
-
-def _assign(
-    slices: Mapping[int, SliceAssignment], usable: list[str], domain_of: dict[str, str]
-) -> dict[int, SliceAssignment]:
-    """Keep what can stay, and spread the rest evenly over the usable targets."""
-    if not usable:
-        return slices
-    owned: Counter[str] = Counter(dict.fromkeys(usable, 0))
-    owned.update(pair.owner for pair in slices.values() if pair.owner in domain_of)
-    backed: Counter[str] = Counter(dict.fromkeys(usable, 0))
-    result = {}
-    for number, pair in slices.items():
-        owner = pair.owner
-        if owner not in domain_of:
-            owner = pair.standby if pair.standby in domain_of else None
-            owner = owner or min(usable, key=lambda name: (owned[name], name))
-            owned[owner] += 1
-        standby = pair.standby
-        if standby not in domain_of or standby == owner:
-            standby = min(
-                (name for name in usable if name != owner),
-                key=lambda name: (domain_of[name] == domain_of[owner], backed[name], name),
-                default=None,
-            )
-        backed[standby] += 1
-        result[number] = SliceAssignment(owner, standby)
-    return result
-
-
-def _unfenced(
-    view: View, row: GroupRow, slices: Mapping[int, SliceAssignment]
-) -> dict[str, tuple[int, ...]]:
-    """Return the targets that may hold grants of earlier generations for the next row's slices."""
-    if row.group in view.unsettled:
-        pending = {name: set(numbers) for name, numbers in view.unsettled[row.group].items()}
-    else:
-        pending = {name: set(numbers) for name, numbers in row.unfenced.items()}
-        for number, pair in row.slices.items():
-            for name in (pair.owner, pair.standby):
-                if name:
-                    pending.setdefault(name, set()).add(number)
-    return {
-        name: tuple(sorted(numbers & slices.keys()))
-        for name, numbers in sorted(pending.items())
-        if numbers & slices.keys()
-    }
+    return HostRef(best.host, best.incarnation) if best else None
--- a/radishshunt/planning.py
+++ b/radishshunt/planning.py
@@ -8,17 +8,28 @@
 
 import trio
 
-from radishshunt.errors import RadishshuntError
+from radishshunt.errors import PlatformUnavailable, RadishshuntError
 from radishshunt.logs import decision
-from radishshunt.planner import View, plan, plan_row
+from radishshunt.planner import (
+    View,
+    former_targets,
+    merge_unfenced,
+    plan_exchange,
+    plan_group,
+    plan_new_groups,
+)
 from radishshunt.platform import Transaction
-from radishshunt.platform.transactions import commit
+from radishshunt.platform.transactions import commit, committed
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from radishshunt.directory import Directory
+    from radishshunt.dispatch.group import GroupDispatcher
     from radishshunt.dispatch.manager import DispatchManager
+    from radishshunt.dispatch.takeover import Takeover
     from radishshunt.membership import Membership
-    from radishshunt.model import GroupRow
+    from radishshunt.model import GroupId, GroupRow
     from radishshunt.platform import Table
     from radishshunt.sync import Sync
 
@@ -27,10 +38,12 @@
 PLAN_INTERVAL_SECONDS = 0.3
 # A started host waits this long for heartbeats before it plans, so that it sees the others.
 PLAN_DELAY_SECONDS = 1.5
+# The standby dispatcher has this long to take over before a group is repaired through the table.
+TAKEOVER_SECONDS = 3.0
 
 
 class Planning:
-    """Plans on the live host with the lowest name, and for the groups dispatched here."""
+    """Plans for the groups dispatched here, and on the live host with the lowest name the rest."""
 
     def __init__(
         self,
@@ -40,6 +53,7 @@
         membership: Membership,
         sync: Sync,
         table: Table,
+        takeover: Takeover,
     ) -> None:
         self._host = host
         self._directory = directory
@@ -47,50 +61,144 @@
         self._membership = membership
         self._sync = sync
         self._table = table
+        self._takeover = takeover
+        self._broken_since: dict[GroupId, float] = {}
 
     async def run(self) -> None:
         """Write the rows that are due until cancelled."""
         await trio.sleep(PLAN_DELAY_SECONDS)
         while True:
             try:
-                for row in self._planned_rows():
-                    await self._write_row(row)
+                await self._plan()
             except RadishshuntError as exc:
                 logger.info("planning waits: %s", exc)
             await trio.sleep(PLAN_INTERVAL_SECONDS)
 
-    def _planned_rows(self) -> list[GroupRow]:
-        """Return the rows that this host should write now."""
+    async def _plan(self) -> None:
         hosts = [info for info in self._membership.live_hosts() if not info.leaving]
-        view = View(self._directory.catalog, hosts, self._directory.rows)
-        if hosts and hosts[0].host == self._host:
-            rows = plan(view)
-            if rows:
-                return rows
-        changed = []
-        for group, dispatcher in self._dispatch.groups.items():
-            lost = frozenset(dispatcher.lost_targets())
-            row = self._directory.rows.get(group)
-            if lost and row is not None:
-                own = replace(view, lost=lost, unsettled={group: dispatcher.unsettled()})
-                following = plan_row(own, row, row.targets)
-                if following is not row:
-                    changed.append(following)
-        return changed
-
-    async def _write_row(self, row: GroupRow) -> None:
-        key = row.group.row_key
-        tx = Transaction(checks={key: row.version}, writes={key: row.to_json()})
-        result = await commit(self._table, tx)
-        decision(
-            "row",
-            service=row.group.service,
-            group=row.group.group,
-            generation=row.generation,
-            dispatcher=row.dispatcher.host,
-            reason=result.status.value,
+        if not hosts:
+            return
+        view = View(self._directory.catalog, hosts, dict(self._directory.rows))
+        if hosts[0].host == self._host:
+            for row in plan_new_groups(view):
+                await self._write([row])
+        for group in self._broken_groups(hosts[0].host == self._host):
+            row = self._directory.rows[group]
+            following = plan_group(view, group) or replace(row, generation=row.generation + 2)
+            former = former_targets(row, following.slices)
+            await self._write([replace(following, unfenced=merge_unfenced(former))])
+        for group, dispatcher in list(self._dispatch.groups.items()):
+            await self._plan_own(view, group, dispatcher)
+
+    async def _plan_own(self, view: View, group: GroupId, dispatcher: GroupDispatcher) -> None:
+        row = self._directory.rows.get(group)
+        if row is None or dispatcher.generation < row.generation or dispatcher.deposed:
+            return
+        grants = dispatcher.grants
+        own = replace(
+            view,
+            rows=dict(self._directory.rows),
+            lost=frozenset(grants.lost_targets()),
+            moved={group: grants.moved_slices()},
         )
-        if key in result.versions:
-            await self._sync.announce_row(replace(row, version=result.versions[key]))
-        else:
+        following = plan_group(own, group)
+        rows = [following] if following is not None else list(plan_exchange(own, group) or ())
+        if not rows:
+            return
+        held = dispatcher.generation > row.generation or await self._takeover.ask_to_hold(row)
+        unsettled = grants.unsettled(rivals_stopped=held)
+        if self._would_strand(dispatcher, unsettled):
+            grants.lift_bars()
+            logger.info("row of %s waits: a lost target can't be fenced", group)
+            return
+        try:
+            checked = []
+            if set(rows[0].targets) - set(row.targets):
+                # No other group may take in the same new targets.
+                checked = list(own.rows_of(group.service).values())
+            if await self._write(self._with_unfenced(rows, row, unsettled), checked):
+                return
+        except PlatformUnavailable:
+            grants.lift_bars()
+            raise
+        grants.lift_bars()
+
+    def _would_strand(
+        self, dispatcher: GroupDispatcher, unsettled: dict[str, tuple[int, ...]]
+    ) -> bool:
+        """Return whether slices that are served would wait for a target that does not answer."""
+        stranded = dispatcher.grants.stranded_slices()
+        lost = dispatcher.grants.lost_targets()
+        return any(set(unsettled.get(name, ())) - stranded for name in lost)
+
+    def _with_unfenced(
+        self, rows: Sequence[GroupRow], row: GroupRow, unsettled: dict[str, tuple[int, ...]]
+    ) -> list[GroupRow]:
+        """Add to planned rows the targets that their dispatchers have to fence."""
+        result = []
+        for following in rows:
+            known = {
+                name: [n for n in numbers if n in following.slices]
+                for name, numbers in unsettled.items()
+            }
+            others = {}
+            if following.group != row.group:
+                # The dispatcher of the group that takes the slices finds out what it can drop.
+                taker = self._directory.rows[following.group]
+                others = former_targets(taker, taker.slices)
+            result.append(replace(following, unfenced=merge_unfenced(known, others)))
+        return result
+
+    def _broken_groups(self, lowest: bool) -> list[GroupId]:
+        """Return the groups without a dispatcher that this host has to repair.
+
+        That is the host that the row names, if it lives but gave the group up, and otherwise the
+        live host with the lowest name.
+        """
+        live = {info.host: info.incarnation for info in self._membership.live_hosts()}
+        now = trio.current_time()
+        broken = []
+        for group, row in self._directory.rows.items():
+            known = self._directory.dispatcher_of(group)
+            named = live.get(row.dispatcher.host) == row.dispatcher.incarnation
+            standby = row.standby_dispatcher
+            stands_by = standby is not None and live.get(standby.host) == standby.incarnation
+            at_standby = known is not None and known.generation > row.generation
+            gave_up = named and row.dispatcher.host == self._host
+            gave_up = gave_up and group not in self._dispatch.groups
+            if (stands_by if at_standby else named) and not (gave_up and not at_standby):
+                self._broken_since.pop(group, None)
+                continue
+            since = self._broken_since.setdefault(group, now)
+            patience = TAKEOVER_SECONDS if stands_by else PLAN_INTERVAL_SECONDS
+            if now - since >= patience and (gave_up or (lowest and not named)):
+                broken.append(group)
+        return broken
+
+    async def _write(self, rows: Sequence[GroupRow], checked: Sequence[GroupRow] = ()) -> bool:
+        """Write rows in one transaction.
+
+        :param checked: Rows that must not have changed.
+        :return: Whether they were written.
+        """
+        tx = Transaction(
+            checks={row.group.row_key: row.version for row in (*checked, *rows)},
+            writes={row.group.row_key: row.to_json() for row in rows},
+        )
+        result = await commit(self._table, tx)
+        for row in rows:
+            decision(
+                "row",
+                service=row.group.service,
+                group=row.group.group,
+                generation=row.generation,
+                dispatcher=row.dispatcher.host,
+                reason=result.status.value,
+            )
+        if not committed(result):
             await self._sync.read_platform()
+            return False
+        for row in rows:
+            version = result.versions[row.group.row_key]
+            await self._sync.announce_row(replace(row, version=version))
+        return True
--- a/radishshunt/targets.py
+++ b/radishshunt/targets.py
@@ -15,7 +15,7 @@
     from collections.abc import AsyncIterator
 
     from radishshunt.model import Request
-    from radishshunt.ownership import Fence, Grant
+    from radishshunt.ownership_state import Fence, Grant
     from radishshunt.release.catalog import TargetSpec
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -59,22 +59,29 @@
 
 
 class TargetUnreachable(RadishshuntError):
-    """A target did not answer a control call."""
+    """A target did not answer a control call.
+
+    :param sent: Whether the call may have reached the target.
+    """
 
     category = "target unreachable"
 
+    def __init__(self, message: str, *, sent: bool = True) -> None:
+        super().__init__(message)
+        self.sent = sent
+
 
 @dataclass(frozen=True, slots=True)
 class FenceAnswer:
     """Answer to a fence.
 
     :param held_standby: Slices for which the target has held a step-1 grant.
-    :param busy_until: Latest deadline of requests running under lower epochs, 0 for none.
+    :param busy: Latest deadline of requests running under lower epochs, by slice.
     """
 
     incarnation: int
     held_standby: frozenset[int]
-    busy_until: float
+    busy: dict[int, float]
 
 
 class TargetClient:
@@ -103,12 +110,17 @@
         :raises GrantRejected: If the target is fenced at a higher generation.
         :raises TargetUnreachable: If there is no answer.
         """
-        doc = {"service": service, "group": group, "generation": command.generation}
+        doc = {
+            "service": service,
+            "group": group,
+            "generation": command.generation,
+            "slices": command.slices,
+        }
         answer = await self._control("/_target/fence", doc)
         return FenceAnswer(
             answer["incarnation"],
             frozenset(answer.get("held_standby", ())),
-            answer.get("busy_until", 0.0),
+            _busy_of(answer, command.slices),
         )
 
     async def grant(self, service: str, group: int, command: Grant) -> None:
@@ -188,7 +200,8 @@
             resp = await self._client.post(path, json=doc, timeout=CONTROL_TIMEOUT_SECONDS)
             answer = resp.json()
         except (httpx.HTTPError, ValueError) as exc:
-            raise TargetUnreachable(f"target {self.spec.name}: {exc!r}") from exc
+            sent = not isinstance(exc, (httpx.ConnectError, httpx.PoolTimeout))
+            raise TargetUnreachable(f"target {self.spec.name}: {exc!r}", sent=sent) from exc
         if resp.status_code == 409:
             raise GrantRejected(answer.get("reason", "fenced"), answer.get("incarnation", 0))
         if resp.status_code != 200:
@@ -196,6 +209,14 @@
         return answer
 
 
+def _busy_of(answer: dict, slices: tuple[int, ...]) -> dict[int, float]:
+    """Return until when requests run; a target that names no slices may be busy with any."""
+    if "busy" in answer:
+        return {int(number): deadline for number, deadline in answer["busy"].items()}
+    until = answer.get("busy_until", 0.0)
+    return dict.fromkeys(slices, until) if until else {}
+
+
 def _headers(
     req: Request, group: int, slice_number: int | None, epoch: int, deadline: float
 ) -> list[tuple[str, str]]:
--- a/radishshunt/wire/codec.py
+++ b/radishshunt/wire/codec.py
@@ -24,6 +24,7 @@
     Intent,
     Intents,
     Message,
+    Notice,
     Probe,
     ProbeAnswer,
     RequestHead,
@@ -64,6 +65,16 @@
     Probe: ("probe", (("host", "host"),)),
     ProbeAnswer: ("probeAnswer", (("heard_at", "heardAt"),)),
     Document: ("document", (("name", "name"), ("version", "version"), ("content", "content"))),
+    Notice: (
+        "notice",
+        (
+            ("kind", "kind"),
+            ("service", "service"),
+            ("group", "group"),
+            ("generation", "generation"),
+            ("deadline", "deadline"),
+        ),
+    ),
     Announce: ("announce", (("name", "name"), ("version", "version"), ("content", "content"))),
 }
 _PLAIN_BY_NAME = {name: (cls, fields) for cls, (name, fields) in _PLAIN.items()}
--- a/radishshunt/wire/connection.py
+++ b/radishshunt/wire/connection.py
@@ -302,6 +302,7 @@
         "Intents",
         "Fetch",
         "Announce",
+        "Notice",
     }
 
 
--- a/radishshunt/wire/messages.py
+++ b/radishshunt/wire/messages.py
@@ -198,6 +198,23 @@
     content: bytes
 
 
+@dataclass(slots=True)
+class Notice:
+    """News of who dispatches a group, answered with an acknowledgement.
+
+    :param kind: ``taken-over`` tells all hosts of a new dispatcher, ``hand-over`` asks the standby
+        dispatcher to take over, ``hold`` asks it not to take over under the generation's row.
+    :param deadline: For ``hand-over``, the end of the last grant that the sender has issued, in
+        seconds since the Unix epoch.
+    """
+
+    kind: str
+    service: str
+    group: int
+    generation: int
+    deadline: float = 0.0
+
+
 Message = (
     Hello
     | Heartbeat
@@ -215,4 +232,5 @@
     | Fetch
     | Document
     | Announce
+    | Notice
 )
--- a/radishshunt/wire/radishshunt.capnp
+++ b/radishshunt/wire/radishshunt.capnp
@@ -92,6 +92,14 @@
   content @2 :Data;
 }
 
+struct Notice {
+  kind @0 :Text;
+  service @1 :Text;
+  group @2 :UInt32;
+  generation @3 :UInt64;
+  deadline @4 :Float64;
+}
+
 struct Frame {
   stream @0 :UInt64;
   union {
@@ -111,5 +119,6 @@
     fetch @14 :Text;
     document @15 :Document;
     announce @16 :Document;
+    notice @17 :Notice;
   }
 }
--- a/tests/test_ownership/interleavings.py
+++ b/tests/test_ownership/interleavings.py
@@ -193,7 +193,7 @@
             elif answered:
                 self.stopped.add(item.dispatcher)
         if lose:
-            ownership.on_failure(command.target, self.now)
+            ownership.on_failure(command, self.now)
         self.tick(item.dispatcher)
 
     def check(self) -> None:
@@ -217,7 +217,7 @@
         for item in self.sent:
             if item.waiting:
                 item.waiting = False
-                self.dispatchers[item.dispatcher].on_failure(item.command.target, self.now)
+                self.dispatchers[item.dispatcher].on_failure(item.command, self.now)
         self.now += QUANTUM
         # Only the latest message of each kind can make a difference to older ones.
         latest = {(i.dispatcher, i.command.target, type(i.command)): i for i in self.sent}
