Search interleavings for two owners, and keep losses across rows

Cause: the ownership rules had no check against interleavings, and a new row forgot which targets did not answer, so a dispatcher that had lost a target wrote a row every 0.3 to 0.6 s that took it out and back in.

Change: tests/test_ownership drives GroupOwnership and the emulated target's TargetGrants through random and exhaustive interleavings of dispatchers, targets and rows.

--- a/radishshunt/dispatch/grants.py
+++ b/radishshunt/dispatch/grants.py
@@ -10,7 +10,7 @@
 
 from radishshunt.clock import CLOCK_SKEW_BOUND
 from radishshunt.ownership import GroupOwnership
-from radishshunt.ownership_state import Fence, Grant, Serving
+from radishshunt.ownership_state import LOST_AFTER_SECONDS, Fence, Grant, Serving
 from radishshunt.targets import GrantRejected, TargetClient, TargetUnreachable
 
 if TYPE_CHECKING:
@@ -58,6 +58,7 @@
         self._ownership = self._build(row, generation, grant_seconds)
         self._rivals_stopped = False
         self._former: GroupOwnership | None = None
+        self._started_at = clock.now()
         self._waiting: set[str] = set()
         self._wake = trio.Event()
 
@@ -66,6 +67,11 @@
         """Generation in use."""
         return self._ownership.generation
 
+    @property
+    def knows_losses(self) -> bool:
+        """Whether enough time has passed to notice which targets do not answer."""
+        return self._clock.now() > self._started_at + 2 * LOST_AFTER_SECONDS
+
     @property
     def latest_deadline(self) -> float:
         """End of the last grant sent to any target, 0 for none."""
@@ -76,6 +82,7 @@
         self.deposed = False
         self.paused = False
         former, self._ownership = self._ownership, self._build(row, generation, grant_seconds)
+        self._ownership.inherit_failures(former)
         if self._rivals_stopped or former.taken_over:
             self._take_over_from(former)
         self._rivals_stopped = False
--- a/radishshunt/ownership.py
+++ b/radishshunt/ownership.py
@@ -189,6 +189,15 @@
                 bundle.rivals_end = latest_deadline
                 bundle.rivals_end_of = deadline_of or {}
 
+    def inherit_failures(self, former: GroupOwnership) -> None:
+        """Go on counting the failures of targets that did not answer under the row before.
+
+        Otherwise a lost target would seem to have returned with each new row.
+        """
+        for name, state in self._targets.items():
+            if name in former._targets:
+                state.failing_since = former._targets[name].failing_since
+
     def serving(self, number: int | None, now: float) -> Serving | None:
         """Return who may serve a slice now, or ``None`` if nobody holds a valid grant."""
         bundle = self._bundle_of.get(number) if number is not None else None
@@ -218,7 +227,9 @@
 
     def stranded_slices(self, now: float) -> frozenset[int]:
         """Return the slices that no target can serve again under this generation."""
-        return frozenset(n for b in self._bundles if self._stranded(b, now) for n in b.slices)
+        return frozenset(
+            n for b in self._bundles if b.stranded(self._targets, now) for n in b.slices
+        )
 
     def begun_slices(self) -> frozenset[int]:
         """Return the slices for which the fences before the first grant are complete."""
@@ -256,19 +267,13 @@
 
     def _unsettled_names(self, bundle: Bundle, now: float, rivals_stopped: bool) -> set[str]:
         if bundle.step is None:
-            if self.taken_over or not rivals_stopped:
-                return {n for n in bundle.names if not self._rivals_ended(bundle, n, now)}
-            return {n for n in bundle.former if not self._rivals_ended(bundle, n, now)}
+            # Without a grant of its own, a dispatcher only passes on what others may have granted.
+            unknown = self.taken_over or not rivals_stopped
+            names = bundle.names if unknown else bundle.former
+            return {name for name in names if not bundle.rivals_ended(name, now)}
         if not self.taken_over and not rivals_stopped:
-            return bundle.names - (bundle.former - {bundle.owner, bundle.standby})
-        names = set()
-        server = bundle.server
-        held = self._targets[server].incarnation == bundle.bound[server]
-        if held and now <= bundle.sent_deadline + CLOCK_SKEW_BOUND:
-            names.add(server)
-        if bundle.step == 0 and self._standby_usable(bundle, now):
-            names.add(bundle.standby)
-        return names
+            return bundle.pair
+        return bundle.exposed(self._targets, now)
 
     def _index(self, bundle: Bundle) -> None:
         for name in bundle.names:
@@ -304,7 +309,7 @@
     def _steps_of(self, name: str, state: TargetState, now: float) -> Mapping[int, int]:
         """Return the slices to grant, none if the target is being replaced by standbys."""
         if state.failed(now) and any(
-            b.step == 0 and b.owner == name and self._standby_usable(b, now)
+            b.step == 0 and b.owner == name and b.standby_usable(self._targets, now)
             for b in self._bundles_of[name]
         ):
             return {}
@@ -324,13 +329,6 @@
             return None
         return Serving(name, epoch_of(self.generation, step), deadline)
 
-    def _stranded(self, bundle: Bundle, now: float) -> bool:
-        if bundle.server is None:
-            return any(self._targets[name].failed(now) for name in bundle.names)
-        state = self._targets[bundle.server]
-        gone = bundle.bound[bundle.server] != state.incarnation or state.failed(now)
-        return gone and (bundle.step == 1 or not self._standby_usable(bundle, now))
-
     def _proved(self, names: set[str]) -> bool:
         return proved([self._targets[name] for name in names])
 
@@ -358,12 +356,6 @@
             if paired and owner.incarnation == bundle.bound[bundle.owner]:
                 bundle.standby_bound = self._targets[bundle.standby].incarnation
 
-    def _rivals_ended(self, bundle: Bundle, name: str, now: float) -> bool:
-        """Return whether all grants of other hosts under lower generations have expired."""
-        if bundle.rivals_end is None:
-            return False
-        return now > bundle.rivals_end_of.get(name, bundle.rivals_end) + CLOCK_SKEW_BOUND
-
     def _advance(self, now: float) -> None:
         for number in [n for n, until in self._held_back.items() if now > until]:
             del self._held_back[number]
@@ -397,13 +389,13 @@
         Expired grants need no fence. But the dispatcher that the row names always fences owner
         and standby, since the standby dispatcher may already use its own generation.
         """
-        names = {n for n in bundle.names if not self._rivals_ended(bundle, n, now)}
+        names = {n for n in bundle.names if not bundle.rivals_ended(n, now)}
         return names if self.taken_over else names | (bundle.names - bundle.former)
 
     def _waits_for_rivals(self, bundle: Bundle, now: float) -> bool:
         """Return whether a target that checks no fences may still get another host's requests."""
         exposed = self.unchecked & (bundle.names if self.taken_over else bundle.former)
-        return any(not self._rivals_ended(bundle, name, now) for name in exposed)
+        return any(not bundle.rivals_ended(name, now) for name in exposed)
 
     def _split_held(self, bundle: Bundle, now: float) -> Bundle | None:
         """Serve the slices for which the standby has held a step-1 grant from the standby.
@@ -444,18 +436,4 @@
 
     def _follows(self, bundle: Bundle, now: float) -> bool:
         """Return whether the standby is due to follow the owner."""
-        return self._lapsed(bundle, now) and self._standby_usable(bundle, now)
-
-    def _lapsed(self, bundle: Bundle, now: float) -> bool:
-        """Return whether the owner can't hold a valid grant any more."""
-        state = self._targets[bundle.owner]
-        if bundle.bound[bundle.owner] != state.incarnation:
-            return True
-        return state.failed(now) and now > bundle.sent_deadline + CLOCK_SKEW_BOUND
-
-    def _standby_usable(self, bundle: Bundle, now: float) -> bool:
-        """Return whether the standby may follow the owner and answers."""
-        standby = self._targets.get(bundle.standby) if bundle.standby else None
-        if standby is None or bundle.standby in bundle.barred or not standby.fenced:
-            return False
-        return standby.incarnation == bundle.standby_bound and not standby.failed(now)
+        return bundle.lapsed(self._targets, now) and bundle.standby_usable(self._targets, now)
--- a/radishshunt/ownership_state.py
+++ b/radishshunt/ownership_state.py
@@ -7,6 +7,8 @@
 from itertools import permutations
 from typing import TYPE_CHECKING
 
+from radishshunt.clock import CLOCK_SKEW_BOUND
+
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
 
@@ -146,11 +148,15 @@
             return None
         return self.owner if self.step == 0 else self.standby
 
+    @property
+    def pair(self) -> set[str]:
+        """Owner and standby."""
+        return {self.owner} if self.standby is None else {self.owner, self.standby}
+
     @property
     def names(self) -> set[str]:
         """All targets that may have held grants for the slices."""
-        pair = {self.owner} if self.standby is None else {self.owner, self.standby}
-        return pair | self.former
+        return self.pair | self.former
 
     def note_sent(self, deadline: float) -> None:
         """Note that a grant is being sent."""
@@ -162,6 +168,45 @@
         bound = self.bound.get(name) == incarnation
         return bound and name == self.server and name not in self.barred
 
+    def lapsed(self, targets: Mapping[str, TargetState], now: float) -> bool:
+        """Return whether the owner can't hold a valid grant any more."""
+        state = targets[self.owner]
+        if self.bound[self.owner] != state.incarnation:
+            return True
+        return state.failed(now) and now > self.sent_deadline + CLOCK_SKEW_BOUND
+
+    def standby_usable(self, targets: Mapping[str, TargetState], now: float) -> bool:
+        """Return whether the standby may follow the owner and answers."""
+        standby = targets.get(self.standby) if self.standby else None
+        if standby is None or self.standby in self.barred or not standby.fenced:
+            return False
+        return standby.incarnation == self.standby_bound and not standby.failed(now)
+
+    def stranded(self, targets: Mapping[str, TargetState], now: float) -> bool:
+        """Return whether no target can serve the slices again under this generation."""
+        if self.server is None:
+            return any(targets[name].failed(now) for name in self.names)
+        state = targets[self.server]
+        gone = self.bound[self.server] != state.incarnation or state.failed(now)
+        return gone and (self.step == 1 or not self.standby_usable(targets, now))
+
+    def rivals_ended(self, name: str, now: float) -> bool:
+        """Return whether all grants of other hosts under lower generations have expired."""
+        if self.rivals_end is None:
+            return False
+        return now > self.rivals_end_of.get(name, self.rivals_end) + CLOCK_SKEW_BOUND
+
+    def exposed(self, targets: Mapping[str, TargetState], now: float) -> set[str]:
+        """Return the targets that hold a grant or may get one, if no other host grants any."""
+        names = set()
+        server = self.server
+        bound = targets[server].incarnation == self.bound[server]
+        if bound and now <= self.sent_deadline + CLOCK_SKEW_BOUND:
+            names.add(server)
+        if self.step == 0 and self.standby_usable(targets, now):
+            names.add(self.standby)
+        return names
+
     def serve_from(self, step: int, targets: Mapping[str, TargetState]) -> None:
         """Let the owner or the standby serve from now on."""
         if self.step is None:
--- a/radishshunt/planning.py
+++ b/radishshunt/planning.py
@@ -95,6 +95,8 @@
         if row is None or dispatcher.generation < row.generation or dispatcher.deposed:
             return
         grants = dispatcher.grants
+        if not grants.knows_losses:
+            return
         own = replace(
             view,
             rows=dict(self._directory.rows),
--- a/tests/test_ownership/interleavings.py
+++ b/tests/test_ownership/interleavings.py
@@ -4,7 +4,7 @@
 
 import pickle
 from collections import Counter
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field, fields, replace
 from random import Random
 
 from radishshunt.emulator.grants import Rejected, TargetGrants
@@ -19,7 +19,7 @@
 QUANTUM = 0.5
 GRANT_SECONDS = 1.2
 LATE_MESSAGES = 6
-REQUEST_SECONDS = 1.0
+SEQUENCES = ("first_ack", "last_sent")
 
 
 @dataclass(frozen=True)
@@ -63,6 +63,7 @@
     ownership_class: type[GroupOwnership]
     names: tuple[str, ...] = ("a", "b")
     now: float = START
+    quantum: float = QUANTUM
     next_incarnation: int = 100
     targets: dict[str, TargetGrants] = field(default_factory=dict)
     clock_offsets: dict[str, float] = field(default_factory=dict)
@@ -207,10 +208,28 @@
             raise TwoOwners("\n".join([*self.trace, f"owners: {owners}"]))
 
     def key(self) -> bytes:
-        """Return a digest of the state for recognising it again."""
-        return pickle.dumps(
-            (self.now, self.targets, self.clock_offsets, self.dispatchers, self.stopped, self.sent)
-        )
+        """Return what tells states apart; of sequence numbers only the order matters."""
+        commands = [(item.dispatcher, item.waiting, item.command) for item in self.sent]
+        parts: list = [self.now, sorted(self.stopped), self.promised, sorted(self.counts.items())]
+        for name, ownership in sorted(self.dispatchers.items()):
+            states = sorted(ownership._targets.items())
+            numbers = {0, *(c.sequence for d, _, c in commands if d == name)}
+            for _, state in states:
+                numbers |= {state.first_ack, state.last_sent}
+            rank = {number: index for index, number in enumerate(sorted(numbers))}
+            for _, state in states:
+                rest = [getattr(state, f.name) for f in fields(state) if f.name not in SEQUENCES]
+                parts.append((rank[state.first_ack], rank[state.last_sent], rest))
+            parts.append(
+                [[repr(getattr(b, f.name)) for f in fields(b)] for b in ownership._bundles]
+            )
+            parts.append(
+                [(w, replace(c, sequence=rank[c.sequence])) for d, w, c in commands if d == name]
+            )
+        for name, target in sorted(self.targets.items()):
+            parts.append((target.incarnation, self.clock_offsets[name], target._groups))
+            parts.append((target._floors, self.row.generation))
+        return repr(parts).encode()
 
     def _advance(self) -> None:
         """Let time pass; calls without an answer have then failed and may arrive late."""
@@ -218,7 +237,7 @@
             if item.waiting:
                 item.waiting = False
                 self.dispatchers[item.dispatcher].on_failure(item.command, self.now)
-        self.now += QUANTUM
+        self.now += self.quantum
         # Only the latest message of each kind can make a difference to older ones.
         latest = {(i.dispatcher, i.command.target, type(i.command)): i for i in self.sent}
         self.sent = list(latest.values())[-LATE_MESSAGES:]
--- /dev/null
+++ b/tests/test_ownership/test_ownership_rules.py
@@ -0,0 +1,227 @@
+"""Tests of single rules of grants, fences and takeover."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from radishshunt.emulator.grants import Rejected, TargetGrants
+from radishshunt.model import GroupId, GroupRow, HostRef, SliceAssignment
+from radishshunt.ownership import GroupOwnership
+from radishshunt.ownership_state import Fence, Grant
+
+NOW = 1000.0
+KEY = ("s", 0)
+
+
+def make_row(slices: dict[int, SliceAssignment], **members) -> GroupRow:
+    names = sorted({n for p in slices.values() for n in (p.owner, p.standby) if n})
+    return GroupRow(
+        GroupId("s", 0),
+        2,
+        HostRef("d", 1),
+        HostRef("h", 1),
+        members.pop("targets", tuple(names)),
+        slices,
+        **members,
+    )
+
+
+def pump(
+    ownership: GroupOwnership,
+    targets: dict[str, TargetGrants],
+    now: float,
+    rounds: int = 5,
+) -> list[Fence | Grant]:
+    """Deliver everything that is due; targets that are not given do not answer."""
+    sent = []
+    for _ in range(rounds):
+        for command in ownership.commands(now):
+            sent.append(command)
+            target = targets.get(command.target)
+            if target is None:
+                ownership.on_failure(command, now)
+                continue
+            try:
+                if isinstance(command, Fence):
+                    result = target.fence(KEY, command.generation, command.slices)
+                    held = frozenset(result.held_standby)
+                    ownership.on_fenced(command, target.incarnation, held, result.busy, now)
+                else:
+                    owned = [n for n, step in command.steps.items() if step == 0]
+                    taken = [n for n, step in command.steps.items() if step == 1]
+                    target.grant(
+                        KEY,
+                        command.generation,
+                        command.incarnation,
+                        owned,
+                        taken,
+                        command.deadline,
+                    )
+                    ownership.on_granted(command, now)
+            except Rejected as exc:
+                if exc.reason == "incarnation":
+                    ownership.on_restarted(command, target.incarnation, now)
+    return sent
+
+
+def run(ownership: GroupOwnership, targets: dict, start: float, seconds: float) -> float:
+    """Pump every 50 ms and return the time at the end."""
+    for index in range(1, int(seconds / 0.05) + 1):
+        pump(ownership, targets, start + index * 0.05, rounds=2)
+    return start + int(seconds / 0.05) * 0.05
+
+
+@pytest.fixture
+def targets() -> dict[str, TargetGrants]:
+    return {"a": TargetGrants(1), "b": TargetGrants(2)}
+
+
+@pytest.fixture
+def row() -> GroupRow:
+    return make_row({0: SliceAssignment("a", "b")})
+
+
+def test_standby_serves_after_the_owners_last_grant_expired(row, targets) -> None:
+    # Guards against a failover that waits for renewals which never left, or that comes early.
+    ownership = GroupOwnership(row, 2, 1.2)
+    pump(ownership, targets, NOW)
+    assert ownership.serving(0, NOW).epoch == 4
+    del targets["a"]
+    now = run(ownership, targets, NOW, 1.25)
+    assert ownership.serving(0, now) is None
+    now = run(ownership, targets, now, 0.6)
+    serving = ownership.serving(0, now)
+    assert (serving.target, serving.epoch) == ("b", 5)
+
+
+def test_restarted_owner_is_followed_at_once(row, targets) -> None:
+    # Guards against waiting for a grant that ended with the owner's process.
+    ownership = GroupOwnership(row, 2, 1.2)
+    pump(ownership, targets, NOW)
+    targets["a"] = TargetGrants(11)
+    pump(ownership, targets, NOW + 0.3)
+    assert ownership.serving(0, NOW + 0.3).target == "b"
+
+
+def test_running_request_of_a_lower_epoch_delays_a_changed_owner_only(targets) -> None:
+    # Guards against a second target that runs a key while the first still does.
+    row = make_row(
+        {0: SliceAssignment("a", "b"), 1: SliceAssignment("b", "a")},
+        unfenced={"a": (0, 1), "b": (0, 1)},
+    )
+    targets["a"].grant(KEY, 1, 1, [0, 1], [], NOW + 1)
+    targets["a"].start("r0", KEY, 0, 2, NOW + 0.8)
+    targets["a"].start("r1", KEY, 1, 2, NOW + 0.8)
+    ownership = GroupOwnership(row, 2, 1.2)
+    pump(ownership, targets, NOW)
+    assert ownership.serving(0, NOW).target == "a"
+    assert ownership.serving(1, NOW) is None
+    now = run(ownership, targets, NOW, 1.0)
+    assert ownership.serving(1, now).target == "b"
+
+
+def test_takeover_keeps_the_standby_that_held_a_step_1_grant(row, targets) -> None:
+    # Guards against slices unserved because their dead owner can't be fenced.
+    former = GroupOwnership(row, 2, 1.2)
+    pump(former, targets, NOW)
+    del targets["a"]
+    now = run(former, targets, NOW, 2.0)
+    assert former.serving(0, now).target == "b"
+    ownership = GroupOwnership(row, 3, 1.2)
+    pump(ownership, targets, now)
+    assert (ownership.serving(0, now).target, ownership.serving(0, now).epoch) == ("b", 7)
+
+
+def test_step_1_grant_of_an_earlier_row_proves_nothing(targets) -> None:
+    # Guards against a takeover that trusts a step-1 grant of a row before: the present owner was
+    # granted since then.
+    targets["b"].grant(KEY, 2, 2, [], [0], NOW)
+    row = make_row({0: SliceAssignment("a", "b")}, targets=("a", "b"))
+    ownership = GroupOwnership(row, 5, 1.2)
+    del targets["a"]
+    pump(ownership, targets, NOW)
+    assert ownership.serving(0, NOW) is None
+
+
+def test_takeover_serves_without_the_owner_once_the_former_dispatcher_stopped(row, targets) -> None:
+    # Guards against slices unserved for ever after the loss of dispatcher and owner together.
+    former = GroupOwnership(row, 2, 1.2)
+    pump(former, targets, NOW)
+    del targets["a"]
+    ownership = GroupOwnership(row, 3, 1.2)
+    now = run(ownership, targets, NOW, 3.0)
+    assert ownership.serving(0, now) is None
+    ownership.on_rivals_stopped(NOW + 1.2)
+    now = run(ownership, targets, now, 0.2)
+    assert ownership.serving(0, now).target == "b"
+
+
+def test_unchecked_targets_wait_for_the_former_dispatcher(row, targets) -> None:
+    # Guards against two dispatchers that send to a target which checks no fences.
+    ownership = GroupOwnership(row, 3, 1.2, frozenset({"a"}))
+    now = run(ownership, targets, NOW, 1.0)
+    assert ownership.serving(0, now) is None
+    ownership.on_rivals_stopped(now)
+    now = run(ownership, targets, now, 0.3)
+    assert ownership.serving(0, now).target == "a"
+
+
+def test_fence_for_a_slice_ends_the_grant_of_another_group(targets) -> None:
+    # Guards against two owners after a slice has moved between groups.
+    target = targets["a"]
+    target.grant(KEY, 2, 1, [0, 1], [], NOW + 1)
+    target.fence(("s", 1), 6, [0])
+    assert target.valid_epoch(KEY, 0, NOW) is None
+    assert target.valid_epoch(KEY, 1, NOW) == 4
+    with pytest.raises(Rejected):
+        target.grant(KEY, 2, 1, [0, 1], [], NOW + 2)
+
+
+def test_following_row_need_not_fence_a_lost_owner(row, targets) -> None:
+    # Guards against a replacement row that waits for a target that is gone.
+    ownership = GroupOwnership(row, 2, 1.2)
+    pump(ownership, targets, NOW)
+    del targets["a"]
+    now = run(ownership, targets, NOW, 2.0)
+    assert ownership.unsettled(now, rivals_stopped=False) == {"a": (0,), "b": (0,)}
+    assert ownership.unsettled(now, rivals_stopped=True) == {"b": (0,)}
+
+
+def test_target_left_out_of_a_row_gets_no_grant_until_the_row_is_dropped(row, targets) -> None:
+    # Guards against a grant to a target that the row being written says holds none.
+    ownership = GroupOwnership(row, 2, 1.2)
+    pump(ownership, targets, NOW)
+    standby = targets.pop("b")
+    now = run(ownership, targets, NOW, 1.0)
+    assert ownership.unsettled(now, rivals_stopped=True) == {"a": (0,)}
+    targets = {"b": standby}
+    now = run(ownership, targets, now, 3.0)
+    assert ownership.serving(0, now) is None
+    ownership.lift_bars()
+    # The owner was tried again meanwhile, so its last grant has to expire first.
+    now = run(ownership, targets, now, 1.5)
+    assert ownership.serving(0, now).target == "b"
+
+
+def test_tick_costs_no_scan_of_the_slices() -> None:
+    # Guards against work for each slice at each tick: 64 times the slices may cost little more.
+    def cost(slices: int) -> float:
+        names = ("a", "b", "c")
+        pairs = {
+            n: SliceAssignment(names[n % 3], names[(n + 1 + n // 3 % 2) % 3]) for n in range(slices)
+        }
+        ownership = GroupOwnership(make_row(pairs), 2, 1.2)
+        targets = {name: TargetGrants(i) for i, name in enumerate(names, start=1)}
+        pump(ownership, targets, NOW)
+        best = float("inf")
+        for _ in range(5):
+            started = time.perf_counter()
+            for _ in range(200):
+                ownership.commands(NOW)
+                ownership.serving(5, NOW)
+            best = min(best, time.perf_counter() - started)
+        return best
+
+    assert cost(65_536) < 4 * cost(1_024)
