--- a/radishshunt/admin.py
+++ b/radishshunt/admin.py
@@ -77,7 +77,7 @@
     @app.post("/v1/releases")
     async def post_release() -> Response:
         note = parse_note((await request.get_data()).decode("utf-8", "replace"))
-        acceptance, catalog = await submit(host.platform, note)
+        acceptance, catalog = await submit(host.platform, note, host.directory.catalog)
         await host.take_catalog(catalog)
         return jsonify({"version": acceptance.version, "digest": acceptance.digest})
 
--- a/radishshunt/platform/__init__.py
+++ b/radishshunt/platform/__init__.py
@@ -18,7 +18,8 @@
 class TableRow:
     """A row of the table.
 
-    :param version: Raised by every write of the row; 0 means that the row does not exist.
+    :param version: Raised by every write of the row, also across its deletion; 0 means that the
+        row does not exist.
     """
 
     version: int
--- a/radishshunt/platform/memory.py
+++ b/radishshunt/platform/memory.py
@@ -27,6 +27,7 @@
 
     def __init__(self) -> None:
         self._rows: dict[str, TableRow] = {}
+        self._deleted: dict[str, int] = {}
         self._outcomes: dict[str, CommitResult] = {}
 
     async def read(self, keys: Sequence[str]) -> dict[str, TableRow]:
@@ -42,9 +43,12 @@
             return CommitResult(CommitStatus.CONFLICT)
         versions = {}
         for key, value in tx.writes.items():
-            version = self._rows.get(key, ABSENT).version + 1
+            # A row that is written again after its deletion goes on from its former version;
+            # otherwise a delayed compare-and-set could match the new row by accident.
+            version = max(self._rows.get(key, ABSENT).version, self._deleted.pop(key, 0)) + 1
             if value is None:
                 self._rows.pop(key, None)
+                self._deleted[key] = version
             else:
                 self._rows[key] = TableRow(version, value)
             versions[key] = version
--- a/radishshunt/release/note.py
+++ b/radishshunt/release/note.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+from collections import Counter
 from dataclasses import asdict
 from hashlib import sha256
 from ipaddress import ip_address
@@ -57,8 +59,14 @@
 
 
 class ServiceChange(_Part):
-    """A service in the ``changed`` part of a note; unnamed members stay as they are."""
+    """A service in the ``changed`` part of a note; unnamed members stay as they are.
 
+    :ivar keyed: Only accepted with the value in force; :func:`apply_note` refuses a change.
+    :ivar slices: As ``keyed``.
+    """
+
+    keyed: bool | None = None
+    slices: int | None = None
     grant_seconds: Annotated[float, Field(ge=0.5, le=30)] | None = None
 
 
@@ -125,8 +133,9 @@
 
     @property
     def digest(self) -> str:
-        """Digest of the note's content; equal for the same note written differently."""
-        return sha256(self.model_dump_json().encode()).hexdigest()
+        """Digest of the note's content; equal for the same note written in another order."""
+        content = _canonical(self.model_dump(mode="json"))
+        return sha256(json.dumps(content, sort_keys=True).encode()).hexdigest()
 
 
 def parse_note(text: str, source: str = "release note") -> ReleaseNote:
@@ -140,11 +149,28 @@
 
 
 def apply_note(catalog: Catalog, note: ReleaseNote) -> Catalog:
-    """Return the catalog that holds after a note.
+    """Return the catalog that holds after a note, which is yet to be accepted.
 
     :raises SettingsError: With every part of the note that does not fit the catalog.
     """
-    problems: list[str] = []
+    problems = _contradictions(note)
+    following = _following(catalog, note, problems)
+    problems += _impossible(following, note)
+    if problems:
+        raise SettingsError(problems)
+    return following
+
+
+def apply_accepted(catalog: Catalog, note: ReleaseNote) -> Catalog:
+    """Return the catalog that holds after an accepted note.
+
+    Nothing is checked: an accepted note stays in force when a later release of this program has
+    stricter checks.
+    """
+    return _following(catalog, note, [])
+
+
+def _following(catalog: Catalog, note: ReleaseNote, problems: list[str]) -> Catalog:
     domains, services, targets = (
         dict(catalog.domains),
         dict(catalog.services),
@@ -159,20 +185,102 @@
         _add(name, ServiceSpec(name, **entry.model_dump()), services, "services", problems)
     for name, entry in note.added.targets.items():
         _add(name, TargetSpec(name, **entry.model_dump()), targets, "targets", problems)
+    _check_fixed_members(note, services, problems)
     _change(note.changed.services, services, ServiceSpec, "services", problems)
     _change(note.changed.targets, targets, TargetSpec, "targets", problems)
     _set_states(note.taken_out.domains, DomainState.OUT, "taken_out", domains, problems)
     _set_states(note.brought_back.domains, DomainState.IN, "brought_back", domains, problems)
-    for target in targets.values():
-        if target.service not in services:
-            problems.append(f"targets.{target.name}: service {target.service} is not known")
-        if target.domain not in domains:
-            problems.append(f"targets.{target.name}: domain {target.domain} is not known")
-    if problems:
-        raise SettingsError(problems)
     return Catalog(note.version, note.digest, domains, services, targets)
 
 
+def _canonical(value: Any) -> Any:
+    """Return a JSON value with its lists sorted; all lists of a note are sets of names."""
+    if isinstance(value, dict):
+        return {name: _canonical(item) for name, item in value.items()}
+    return sorted(value) if isinstance(value, list) else value
+
+
+def _contradictions(note: ReleaseNote) -> list[str]:
+    """Return the parts of a note that contradict each other."""
+    problems = []
+    lists = {
+        "added.domains": note.added.domains,
+        "withdrawn.domains": note.withdrawn.domains,
+        "withdrawn.services": note.withdrawn.services,
+        "withdrawn.targets": note.withdrawn.targets,
+        "taken_out.domains": note.taken_out.domains,
+        "brought_back.domains": note.brought_back.domains,
+    }
+    for path, names in lists.items():
+        problems += [f"{path}: {n} is given twice" for n in sorted(_repeated(names))]
+    # A name that is withdrawn and added at once would pass from one process to another without
+    # a version in between in which the first of them gets no work.
+    for kind in ("domains", "services", "targets"):
+        withdrawn = set(getattr(note.withdrawn, kind))
+        both = sorted(withdrawn & set(getattr(note.added, kind)))
+        problems += [f"added.{kind}.{n}: is withdrawn by the same note" for n in both]
+    for kind in ("services", "targets"):
+        both = sorted(set(getattr(note.added, kind)) & set(getattr(note.changed, kind)))
+        problems += [f"changed.{kind}.{n}: is added by the same note" for n in both]
+    both = sorted(set(note.taken_out.domains) & set(note.brought_back.domains))
+    problems += [f"brought_back.domains: {n} is taken out by the same note" for n in both]
+    return problems
+
+
+def _repeated(names: list[str]) -> set[str]:
+    return {name for name, count in Counter(names).items() if count > 1}
+
+
+def _check_fixed_members(
+    note: ReleaseNote, services: dict[str, ServiceSpec], problems: list[str]
+) -> None:
+    for name, change in note.changed.services.items():
+        spec = services.get(name)
+        for member in ("keyed", "slices"):
+            value = getattr(change, member)
+            if spec is not None and value not in (None, getattr(spec, member)):
+                problems.append(
+                    f"changed.services.{name}.{member}: cannot change, since every key would "
+                    "move; add a service with another name"
+                )
+
+
+def _impossible(catalog: Catalog, note: ReleaseNote) -> list[str]:
+    """Return what cannot work in a catalog, whichever note led to it."""
+    problems = []
+    withdrawn_services = set(note.withdrawn.services)
+    withdrawn_domains = set(note.withdrawn.domains)
+    at_address: dict[str, str] = {}
+    usable: set[str] = set()
+    for target in catalog.targets.values():
+        path = f"targets.{target.name}"
+        if target.service not in catalog.services:
+            gone = target.service in withdrawn_services
+            problems.append(
+                f"{path}: service {target.service} is {'withdrawn' if gone else 'not known'}"
+            )
+        if target.domain not in catalog.domains:
+            gone = target.domain in withdrawn_domains
+            problems.append(
+                f"{path}: domain {target.domain} is {'withdrawn' if gone else 'not known'}"
+            )
+        other = at_address.setdefault(target.address, target.name)
+        if other != target.name:
+            problems.append(f"{path}: address {target.address} is that of target {other}")
+        if target.cold_slots > target.slots:
+            problems.append(f"{path}: cold_slots is larger than slots")
+        # One connection is kept for grants and fences.
+        if target.connections <= target.slots:
+            problems.append(f"{path}: connections is not larger than slots")
+        if catalog.domains.get(target.domain) is DomainState.IN:
+            usable.add(target.service)
+    problems += [
+        f"services.{name}: has no target in a domain that is in"
+        for name in sorted(catalog.services.keys() - usable)
+    ]
+    return problems
+
+
 def _add(name: str, value: Any, into: dict, kind: str, problems: list[str]) -> None:
     if name in into:
         problems.append(f"added.{kind}.{name}: exists already")
@@ -202,4 +310,5 @@
     for name in names:
         if name not in domains:
             problems.append(f"{part}.domains: {name} is not known")
+            continue
         domains[name] = state
