Spread releases and rows along a bounded number of peers per host

Cause: every host sent heartbeats and announcements to every other one and read and scanned the platform every second; a catalog larger than a frame could not be sent at all, and each change was sent whole. Change: up to 16 hosts form a full mesh; beyond that a host has at most eight peers in two rings of its domain and two of all hosts, plus the hosts that it shares a group with. News names versions only; peers fetch the notes, rows or parts of a catalog that they lack, and digests in heartbeats show what news was lost. Two hosts of each domain read the platform, one small read a second while nothing changes; rows that change are marked in the same transaction. News of hosts spreads with heartbeats, other hosts confirm the loss of a host, silent connections are replaced, and a host without recent contact is not ready (Contact.may_send_new_work).

--- a/radishshunt/app.py
+++ b/radishshunt/app.py
@@ -11,9 +11,11 @@
 
 from radishshunt.admin import build_app
 from radishshunt.clock import Clock, SystemClock
+from radishshunt.contact import Contact
 from radishshunt.directory import Directory
 from radishshunt.dispatch.manager import DispatchManager
 from radishshunt.frontend import Frontend
+from radishshunt.members import Members
 from radishshunt.membership import Membership
 from radishshunt.metrics import Metrics
 from radishshunt.model import HostInfo, HostRef, new_incarnation
@@ -30,6 +32,7 @@
 
     from radishshunt.platform import Platform
     from radishshunt.release.catalog import Catalog
+    from radishshunt.release.note import ReleaseNote
     from radishshunt.settings import Settings, TlsSection
 
 logger = logging.getLogger(__name__)
@@ -59,8 +62,27 @@
         self.dispatch = DispatchManager(
             HostRef(self.me.host, self.me.incarnation), self.directory, cfg.limits, self.clock
         )
-        self.membership = Membership(self.network, self.clock, self.describe, self._on_heartbeat)
-        self.sync = Sync(self.directory, self.network, self.platform, self.clock, self._on_catalog)
+        self.members = Members(self.me, self.network, self.clock)
+        self.contact = Contact(self.directory, self.members)
+        self.membership = Membership(
+            self.network,
+            self.clock,
+            self.describe,
+            self._on_heartbeat,
+            self.members,
+            self.contact,
+            self._paired_hosts,
+        )
+        self.sync = Sync(
+            self.directory,
+            self.network,
+            self.platform,
+            self.clock,
+            self._on_catalog,
+            self.members,
+            self.contact,
+            cfg.peers.seeds,
+        )
         self.planning = Planning(
             self.me.host,
             self.directory,
@@ -73,6 +95,7 @@
             self.me.host, self.directory, self.dispatch, self.network, self.clock, self.metrics
         )
         self.frontend = Frontend(self.router, cfg.limits, self.clock, self.metrics)
+        self._pairs: tuple[int, frozenset[str]] = (0, frozenset())
         self.leaving = False
         self.started = trio.Event()
         self._stop = trio.Event()
@@ -80,6 +103,7 @@
     def stop(self) -> None:
         """Begin a graceful stop."""
         self.leaving = True
+        self.members.declare(leaving=True)
         self._stop.set()
 
     async def run(self) -> None:
@@ -103,12 +127,17 @@
             groups=self.dispatch.states(),
             leaving=self.leaving,
             sent_at=self.clock.now(),
+            platform_seen_at=self.sync.platform_seen_at,
+            rows_digest=self.directory.rows_digest,
         )
 
-    async def take_catalog(self, catalog: Catalog) -> None:
-        """Put an accepted catalog into force here and announce it to all peers."""
-        self.sync.take_catalog(catalog, "submitted here")
-        await self.sync.announce_catalog(catalog)
+    async def take_catalog(self, catalog: Catalog, note: ReleaseNote | None = None) -> None:
+        """Put an accepted catalog into force here and announce it to the peers.
+
+        :param note: Note that led to the catalog.
+        """
+        self.sync.take_catalog(catalog, "submitted here", note)
+        await trio.lowlevel.checkpoint()
 
     def unready_reasons(self) -> list[str]:
         """Return why the balancer should not send callers here; empty if it should."""
@@ -117,6 +146,10 @@
             reasons.append("the host is stopping")
         if not self.directory.catalog.version:
             reasons.append("no release note is known yet")
+        if not self.sync.loaded:
+            reasons.append("the rows were read neither from a peer nor from the platform")
+        elif not self.contact.may_send_new_work(self.clock.now()):
+            reasons.append("no recent contact with a peer or with the platform")
         return reasons
 
     def status(self) -> dict[str, Any]:
@@ -197,6 +230,19 @@
             while self.frontend.running or any(g.load for g in self.dispatch.groups.values()):
                 await trio.sleep(STOP_POLL_SECONDS)
 
+    def _paired_hosts(self) -> frozenset[str]:
+        """Return the hosts that share a group with this one as its other dispatcher."""
+        digest = self.directory.rows_digest
+        if self._pairs[0] != digest:
+            me = self.me.host
+            pairs = set()
+            for row in self.directory.rows.values():
+                standby = row.standby_dispatcher.host if row.standby_dispatcher else me
+                if me in (row.dispatcher.host, standby):
+                    pairs |= {row.dispatcher.host, standby}
+            self._pairs = (digest, frozenset(pairs - {me}))
+        return self._pairs[1]
+
     def _on_heartbeat(self, beat: Heartbeat) -> None:
         self.sync.note_heartbeat(beat)
 
--- a/radishshunt/directory.py
+++ b/radishshunt/directory.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import trio
+from xxhash import xxh3_64_intdigest
 
 from radishshunt.hashing import slice_of
 from radishshunt.release.catalog import Catalog
@@ -49,6 +50,8 @@
     def __init__(self) -> None:
         self.catalog = Catalog()
         self.rows: dict[GroupId, GroupRow] = {}
+        # Equal on two hosts that know the same generation of every row.
+        self.rows_digest = 0
         self._dispatchers: dict[GroupId, Dispatcher] = {}
         self._slice_groups: dict[str, list[GroupId | None]] = {}
         self._changed = trio.Event()
@@ -67,7 +70,7 @@
         self.catalog = catalog
         gone = [group for group in self.rows if group.service not in catalog.services]
         for group in gone:
-            del self.rows[group]
+            self.rows_digest ^= _row_digest(self.rows.pop(group))
             self._dispatchers.pop(group, None)
         self._slice_groups.clear()
         self._notify()
@@ -81,6 +84,7 @@
         known = self.rows.get(row.group)
         if known is not None and known.generation >= row.generation:
             return False
+        self.rows_digest ^= _row_digest(known) ^ _row_digest(row)
         self.rows[row.group] = row
         self._slice_groups.pop(row.group.service, None)
         self.update_dispatcher(row.group, Dispatcher(row.dispatcher.host, row.generation))
@@ -137,3 +141,7 @@
     def _notify(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
+
+
+def _row_digest(row: GroupRow | None) -> int:
+    return xxh3_64_intdigest(f"{row.group}/{row.generation}".encode()) if row is not None else 0
--- /dev/null
+++ b/radishshunt/documents.py
@@ -0,0 +1,184 @@
+"""Documents that hosts fetch from each other: releases, rows and the view of the hosts."""
+
+from __future__ import annotations
+
+import json
+import zlib
+from typing import TYPE_CHECKING
+
+from radishshunt.errors import ProtocolError
+from radishshunt.model import GroupId, GroupRow
+from radishshunt.release.note import ReleaseNote
+from radishshunt.wire.messages import Document, Member
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from radishshunt.directory import Directory
+    from radishshunt.members import Members
+
+# A frame holds at most 1 MiB; a document is given out in parts that fit with room to spare.
+PART_BYTES = 512 * 1024
+COMPRESSED_FROM_BYTES = 512
+# Bound on what a peer can make this host allocate; a catalog of 100,000 targets has about 25 MB.
+LARGEST_DOCUMENT_BYTES = 64 * 1024 * 1024
+# Notes kept for peers that are a few versions behind; others fetch the whole catalog.
+NOTES_KEPT = 64
+NOTES_KEPT_BYTES = 1024 * 1024
+ROWS_PER_FETCH = 64
+
+
+def pack(data: bytes) -> bytes:
+    """Return JSON in the form in which hosts exchange it, compressed unless it is short."""
+    return zlib.compress(data, 1) if len(data) > COMPRESSED_FROM_BYTES else data
+
+
+def unpack(data: bytes) -> bytes:
+    """Return the JSON that :func:`pack` was given.
+
+    :raises ProtocolError: If the data are damaged or too large.
+    """
+    if data[:1] in (b"{", b"["):
+        return data
+    decompressor = zlib.decompressobj()
+    try:
+        content = decompressor.decompress(data, LARGEST_DOCUMENT_BYTES)
+    except zlib.error as exc:
+        raise ProtocolError(f"damaged document: {exc}") from exc
+    if not decompressor.eof:
+        raise ProtocolError("a document is cut or too large")
+    return content
+
+
+def row_name(group: GroupId) -> str:
+    """Return the name under which a group's row is fetched."""
+    return f"row/{group.service}/{group.group}"
+
+
+def group_of(name: str) -> GroupId:
+    """Return the group of a name that :func:`row_name` returned.
+
+    :raises ValueError: If the name is not of that form.
+    """
+    kind, service, number = name.split("/")
+    if kind != "row":
+        raise ValueError(f"{name} does not name a row")
+    return GroupId(service, int(number))
+
+
+class Documents:
+    """Gives documents out to peers."""
+
+    def __init__(self, directory: Directory, members: Members) -> None:
+        self._directory = directory
+        self._members = members
+        self._notes: dict[int, bytes] = {}
+        # The last document in parts, and what it was made from.
+        self._parts: tuple[str, int, list[bytes]] = ("", 0, [])
+        self.loaded = False
+
+    def keep_note(self, note: ReleaseNote) -> None:
+        """Keep an accepted note for peers that don't have it."""
+        self._notes[note.version] = note.model_dump_json(exclude_defaults=True).encode()
+        size = sum(len(data) for data in self._notes.values())
+        while len(self._notes) > NOTES_KEPT or size > NOTES_KEPT_BYTES:
+            size -= len(self._notes.pop(min(self._notes)))
+
+    def find(self, name: str) -> Document:
+        """Return a document, or one of version 0 if there is none of that name."""
+        kind, _, rest = name.partition("/")
+        version = self._directory.catalog.version
+        content = None
+        if kind == "notes" and rest.isdigit():
+            content = self._notes_after(int(rest))
+        elif kind == "catalog" and version:
+            return self._part(name, version, rest)
+        elif kind == "members":
+            return self._part(name, max(1, self._members.digest >> 1), rest)
+        elif kind == "index":
+            content = self._index()
+        elif kind == "rows":
+            content = self._rows(rest.split(","))
+        elif kind == "row":
+            return self._row(name)
+        return (
+            Document(name, 0, b"") if content is None else Document(name, max(1, version), content)
+        )
+
+    def _notes_after(self, version: int) -> bytes | None:
+        wanted = range(version + 1, self._directory.catalog.version + 1)
+        if not wanted or any(number not in self._notes for number in wanted):
+            return None
+        notes = b",".join(self._notes[number] for number in wanted)
+        content = pack(b"[" + notes + b"]")
+        return content if len(content) <= PART_BYTES else None
+
+    def _part(self, name: str, version: int, number: str) -> Document:
+        kind = name.partition("/")[0]
+        index = int(number) if number.isdigit() else 0
+        if self._parts[:2] != (kind, version):
+            if index:
+                return Document(name, 0, b"")  # The peer begins again with the newer version.
+            data = self._directory.catalog.to_json() if kind == "catalog" else self._members_json()
+            packed = pack(data)
+            parts = [packed[i : i + PART_BYTES] for i in range(0, len(packed), PART_BYTES)]
+            self._parts = (kind, version, parts)
+        parts = self._parts[2]
+        if index >= len(parts):
+            return Document(name, 0, b"")
+        return Document(f"{kind}/{index}/{len(parts)}", version, parts[index])
+
+    def _index(self) -> bytes:
+        rows = {row_name(g): row.generation for g, row in self._directory.rows.items()}
+        return pack(json.dumps({"loaded": self.loaded, "rows": rows}).encode())
+
+    def _rows(self, names: Iterable[str]) -> bytes:
+        found: list[list] = []
+        size = 0
+        for name in names:
+            row = self._find_row(name)
+            if row is None or len(found) == ROWS_PER_FETCH:
+                continue
+            data = row.to_json()
+            size += len(data)
+            # Compressed rows are a small part of this; a single row always goes out.
+            if found and size > 4 * PART_BYTES:
+                break
+            found.append([row.version, data.decode()])
+        return pack(json.dumps(found).encode())
+
+    def _row(self, name: str) -> Document:
+        row = self._find_row(name)
+        if row is None:
+            return Document(name, 0, b"")
+        return Document(name, max(1, row.version), pack(row.to_json()))
+
+    def _find_row(self, name: str) -> GroupRow | None:
+        try:
+            return self._directory.rows.get(group_of(name))
+        except ValueError:
+            return None
+
+    def _members_json(self) -> bytes:
+        records = [
+            [m.host, m.incarnation, m.domain, m.address, int(m.state), m.at]
+            for m in self._members.records()
+        ]
+        return json.dumps(records).encode()
+
+
+def read_notes(content: bytes) -> list[ReleaseNote]:
+    """Read a ``notes`` document."""
+    return [ReleaseNote.model_validate(doc) for doc in json.loads(unpack(content))]
+
+
+def read_rows(content: bytes) -> list[GroupRow]:
+    """Read a ``rows`` document."""
+    return [
+        GroupRow.from_json(data.encode(), version) for version, data in json.loads(unpack(content))
+    ]
+
+
+def read_members(content: bytes) -> list[Member]:
+    """Read a ``members`` document whose parts have been put together."""
+    return [Member(*fields) for fields in json.loads(unpack(content))]
--- a/radishshunt/membership.py
+++ b/radishshunt/membership.py
@@ -2,33 +2,56 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
 import trio
 
+from radishshunt.clock import CLOCK_SKEW_BOUND
 from radishshunt.errors import PeerUnavailable
+from radishshunt.members import Members, State
 from radishshunt.model import HostInfo
-from radishshunt.wire.messages import Heartbeat
+from radishshunt.wire.messages import Heartbeat, Probe, ProbeAnswer
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from radishshunt.clock import Clock
+    from radishshunt.contact import Contact
     from radishshunt.peers import PeerNetwork
     from radishshunt.wire.connection import PeerConnection, Stream
     from radishshunt.wire.messages import Message
 
+logger = logging.getLogger(__name__)
+
 HEARTBEAT_INTERVAL_SECONDS = 0.2
-HEARTBEAT_TIMEOUT_SECONDS = 0.5
+# Short enough that a silent connection is replaced and used before its host counts as lost.
+HEARTBEAT_TIMEOUT_SECONDS = 0.3
 # Silence after which a host counts as lost.
 LOST_AFTER_SECONDS = 0.7
+# Between hosts that are peers only because there are too many for a full mesh. Eight such peers,
+# each heartbeat sent by one side and answered by the other, stay under 4 KB/s; at 0.2 s they don't.
+SLOW_INTERVAL_SECONDS = 1.0
+SLOW_LOST_AFTER_SECONDS = 2.5
+# A host that was heard this recently counts as live without a probe of its own.
+FRESH_SECONDS = 0.3
+PROBE_TIMEOUT_SECONDS = 0.4
+CONFIRM_TIMEOUT_SECONDS = 0.5
+# Hosts asked about another one, and how many of them have to report no contact.
+PROBED_HOSTS = 5
+REPORTS_NEEDED = 2
+CLOCK_WARNING_INTERVAL_SECONDS = 60.0
 
 
 class Membership:
-    """Sends heartbeats to all known hosts and remembers who answers.
+    """Sends heartbeats to this host's peers and remembers who answers.
 
     :param describe: Returns the heartbeat that describes this host now.
     :param on_heartbeat: Called with every heartbeat received.
+    :param members: News of all hosts; by default a view of its own.
+    :param contact: Told of every contact with a peer.
+    :param pairs: Returns the hosts that share a group with this one as dispatcher and standby
+        dispatcher; they exchange heartbeats at the short interval whatever the number of hosts.
     """
 
     def __init__(
@@ -37,68 +60,263 @@
         clock: Clock,
         describe: Callable[[], Heartbeat],
         on_heartbeat: Callable[[Heartbeat], None],
+        members: Members | None = None,
+        contact: Contact | None = None,
+        pairs: Callable[[], Iterable[str]] = tuple,
     ) -> None:
+        self.members = members or Members(network.me, network, clock)
         self._network = network
         self._clock = clock
         self._describe = describe
         self._on_heartbeat = on_heartbeat
+        self._contact = contact
+        self._pairs = pairs
         self._heard_at: dict[str, float] = {}
+        self._asked_at: dict[str, float] = {}
+        self._waiting_since: dict[str, float] = {}
         self._last: dict[str, Heartbeat] = {}
+        self._beating: dict[str, trio.CancelScope] = {}
+        self._checking: set[str] = set()
+        self._clocks = _ClockWatch()
         network.register(Heartbeat, self._answer)
+        network.register(Probe, self._answer_probe)
 
     def heard_at(self, host: str) -> float:
         """Return when a host was last heard, in seconds since the Unix epoch; 0 for never."""
         return self._heard_at.get(host, 0.0)
 
     def is_live(self, host: str) -> bool:
-        """Return whether a host was heard within :data:`LOST_AFTER_SECONDS`."""
+        """Return whether a host is live.
+
+        A host that exchanges heartbeats with this one has to have been heard recently; of another
+        one, the news decides.
+        """
         if host == self._network.me.host:
             return True
-        return self._clock.now() - self.heard_at(host) <= LOST_AFTER_SECONDS
+        limit = self._lost_after(host)
+        if self._clock.now() - self.heard_at(host) <= limit:
+            return True
+        if host in self._beating:
+            return False
+        return self._exists(host)
 
     def live_hosts(self) -> list[HostInfo]:
         """Return the live hosts and this one, in order of name, with their incarnations."""
         me = self._network.me
         infos = [HostInfo(me.host, me.domain, me.address, me.incarnation, self._describe().leaving)]
-        for host, beat in self._last.items():
+        for member in self.members.records():
+            host = member.host
+            if host == me.host or member.state in (State.LISTED, State.GONE):
+                continue
             if self.is_live(host):
+                beat = self._last.get(host)
+                leaving = member.state == State.LEAVING or (beat is not None and beat.leaving)
                 infos.append(
-                    HostInfo(host, beat.domain, beat.address, beat.incarnation, beat.leaving)
+                    HostInfo(host, member.domain, member.address, member.incarnation, leaving)
                 )
         return sorted(infos, key=lambda info: info.host)
 
+    def clock_differences(self) -> dict[str, float]:
+        """Return by how many seconds the clocks of heard hosts are ahead of this host's."""
+        return dict(self._clocks.differences)
+
+    async def confirmed_lost(self, host: str) -> bool:
+        """Return whether this host and two others have no contact with a host.
+
+        Where fewer than two others exist, all of them have to report no contact; hosts whose loss
+        was confirmed before don't count. A host that does not answer reports nothing, so a host
+        that is cut off from all others confirms no loss.
+        """
+        if self.is_live(host):
+            return False
+        others = self._hosts_to_ask(host)
+        needed = min(REPORTS_NEEDED, len(others))
+        reports: list[bool] = []
+        with trio.move_on_after(CONFIRM_TIMEOUT_SECONDS):
+            async with trio.open_nursery() as nursery:
+                for other in others:
+                    nursery.start_soon(self._ask, other, host, reports)
+        lost, seen = reports.count(False), reports.count(True)
+        confirmed = lost >= needed and seen < REPORTS_NEEDED and not self.is_live(host)
+        logger.info(
+            "host %s: %d of %d hosts asked report no contact, %d report contact",
+            host,
+            lost,
+            len(others),
+            seen,
+        )
+        return confirmed
+
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
-        async with trio.open_nursery() as nursery:
-            started: set[str] = set()
+        self.members.declare()
+        try:
+            async with trio.open_nursery() as nursery:
+                while True:
+                    self._start_and_stop(nursery)
+                    self._check_silent(nursery)
+                    await trio.sleep(HEARTBEAT_INTERVAL_SECONDS)
+        finally:
+            self._beating.clear()
+
+    def _start_and_stop(self, nursery: trio.Nursery) -> None:
+        known = self._network.hosts
+        wanted = {h for h in (*self.members.peers, *self._pairs()) if h in known}
+        for host in wanted - self._beating.keys():
+            scope = self._beating[host] = trio.CancelScope()
+            # A new peer has as long as a lost one before it counts as silent.
+            self._waiting_since[host] = self._clock.now()
+            nursery.start_soon(self._beat, host, scope)
+        for host in self._beating.keys() - wanted:
+            self._beating.pop(host).cancel()
+        for host in [h for h in self._heard_at if h not in known]:
+            for table in (self._heard_at, self._asked_at, self._waiting_since, self._last):
+                table.pop(host, None)
+            self._clocks.differences.pop(host, None)
+
+    def _check_silent(self, nursery: trio.Nursery) -> None:
+        """Have the loss of silent peers confirmed, and tell the hosts that don't see it."""
+        now = self._clock.now()
+        for host in self.members.peers:
+            since = max(self.heard_at(host), self._waiting_since.get(host, now))
+            silent = now - since > SLOW_LOST_AFTER_SECONDS
+            if silent and host not in self._checking and self._exists(host):
+                self._checking.add(host)
+                nursery.start_soon(self._check, host)
+
+    async def _check(self, host: str) -> None:
+        try:
+            if await self.confirmed_lost(host):
+                self.members.report_lost(host)
+            else:
+                # Another check follows after another period of silence.
+                self._waiting_since[host] = self._clock.now()
+        finally:
+            self._checking.discard(host)
+
+    def _is_fast(self, host: str) -> bool:
+        return self.members.topology.full_mesh or host in self._pairs()
+
+    def _lost_after(self, host: str) -> float:
+        return LOST_AFTER_SECONDS if self._is_fast(host) else SLOW_LOST_AFTER_SECONDS
+
+    async def _beat(self, host: str, scope: trio.CancelScope) -> None:
+        with scope:
             while True:
-                for host in set(self._network.hosts) - started:
-                    started.add(host)
-                    nursery.start_soon(self._beat, host)
-                await trio.sleep(HEARTBEAT_INTERVAL_SECONDS)
-
-    async def _beat(self, host: str) -> None:
-        while True:
-            if host in self._network.hosts:
-                try:
-                    answer = await self._network.call(
-                        host, self._describe(), HEARTBEAT_TIMEOUT_SECONDS
-                    )
-                    self._receive(answer)
-                except PeerUnavailable:
-                    pass
-            await trio.sleep(HEARTBEAT_INTERVAL_SECONDS)
+                interval = (
+                    HEARTBEAT_INTERVAL_SECONDS if self._is_fast(host) else SLOW_INTERVAL_SECONDS
+                )
+                answered = True
+                if not self._peer_beats(host, interval):
+                    answered = await self._call(host)
+                # After a failure a new connection is tried at once, and then at the interval.
+                failed_before = not answered and self.heard_at(host) < self._clock.now() - interval
+                await trio.sleep(interval if answered or failed_before else 0.02)
+
+    def _peer_beats(self, host: str, interval: float) -> bool:
+        """Return whether the peer sends the heartbeats between the two hosts.
+
+        With many hosts only the one with the smaller name sends, and the other one answers; it
+        sends itself as soon as it has not been asked for longer than an interval.
+        """
+        if self.members.topology.full_mesh or self._network.me.host < host:
+            return False
+        beat = self._last.get(host)
+        return (
+            beat is not None and self._clock.now() - self._asked_at.get(host, 0.0) < 1.5 * interval
+        )
+
+    async def _call(self, host: str) -> bool:
+        beat = self._own_beat(host)
+        sent_at = self._clock.now()
+        try:
+            answer = await self._network.call(host, beat, HEARTBEAT_TIMEOUT_SECONDS)
+        except PeerUnavailable:
+            self.members.return_news(host, beat.members)
+            return False
+        if isinstance(answer, Heartbeat) and answer.host == host:
+            self._clocks.note(host, sent_at, self._clock.now(), answer.sent_at)
+            self._receive(answer, sent_at)
+        return True
+
+    def _own_beat(self, host: str) -> Heartbeat:
+        beat = self._describe()
+        beat.members = self.members.take_news(host)
+        beat.members_digest = self.members.digest
+        return beat
 
     async def _answer(self, _conn: PeerConnection, stream: Stream, msg: Message) -> None:
-        await stream.send(self._describe())
-        self._receive(msg)
+        assert isinstance(msg, Heartbeat)
+        self._asked_at[msg.host] = self._clock.now()
+        # The news that came with the question is taken first, so that the answer is up to date. A
+        # question can have waited in a buffer while this host was paused, so the contact counts
+        # from the time that the sender gives.
+        self._receive(msg, min(msg.sent_at, self._clock.now()) - CLOCK_SKEW_BOUND)
+        await stream.send(self._own_beat(msg.host))
 
-    def _receive(self, msg: Message) -> None:
-        if not isinstance(msg, Heartbeat):
+    def _receive(self, beat: Heartbeat, contact_at: float) -> None:
+        info = HostInfo(beat.host, beat.domain, beat.address, beat.incarnation, beat.leaving)
+        if beat.host == self._network.me.host or not self.members.hear(info):
             return
-        self._heard_at[msg.host] = self._clock.now()
-        self._last[msg.host] = msg
-        self._network.update_hosts(
-            [HostInfo(msg.host, msg.domain, msg.address, msg.incarnation, msg.leaving)]
-        )
-        self._on_heartbeat(msg)
+        self._heard_at[beat.host] = self._clock.now()
+        self._last[beat.host] = beat
+        self.members.merge(beat.members, beat.host)
+        if self._contact is not None:
+            self._contact.note(contact_at, beat.catalog_version)
+        self._on_heartbeat(beat)
+
+    def _hosts_to_ask(self, host: str) -> list[str]:
+        """Return other hosts that are likely to have contact with a host, its peers first."""
+        me = self._network.me.host
+        candidates = (*self.members.topology.peers_of(host), *self.members.peers)
+        others = [h for h in dict.fromkeys(candidates) if h not in (me, host) and self._exists(h)]
+        return sorted(others, key=lambda h: not self.is_live(h))[:PROBED_HOSTS]
+
+    def _exists(self, host: str) -> bool:
+        known = self.members.get(host)
+        return known is not None and known.state in (State.ALIVE, State.LEAVING)
+
+    async def _ask(self, other: str, host: str, reports: list[bool]) -> None:
+        try:
+            answer = await self._network.call(other, Probe(host), PROBE_TIMEOUT_SECONDS)
+        except PeerUnavailable:
+            return
+        if isinstance(answer, ProbeAnswer):
+            reports.append(self._clock.now() - answer.heard_at <= LOST_AFTER_SECONDS)
+
+    async def _answer_probe(self, _conn: PeerConnection, stream: Stream, msg: Message) -> None:
+        assert isinstance(msg, Probe)
+        host = msg.host
+        now = self._clock.now()
+        if host == self._network.me.host:
+            heard_at = now
+        else:
+            if now - self.heard_at(host) > FRESH_SECONDS and host in self._network.hosts:
+                with trio.move_on_after(PROBE_TIMEOUT_SECONDS * 0.75):
+                    await self._call(host)
+            heard_at = self.heard_at(host)
+        await stream.send(ProbeAnswer(heard_at))
+
+
+class _ClockWatch:
+    """Differences between the clocks of this host and its peers."""
+
+    def __init__(self) -> None:
+        self.differences: dict[str, float] = {}
+        self._warned_at: dict[str, float] = {}
+
+    def note(self, host: str, sent_at: float, received_at: float, peer_at: float) -> None:
+        """Take the times of a heartbeat and of its answer."""
+        difference = peer_at - (sent_at + received_at) / 2
+        self.differences[host] = difference
+        # The answer was written at some time between the two, so half of that is uncertain.
+        if abs(difference) - (received_at - sent_at) / 2 <= CLOCK_SKEW_BOUND:
+            return
+        if received_at - self._warned_at.get(host, float("-inf")) >= CLOCK_WARNING_INTERVAL_SECONDS:
+            self._warned_at[host] = received_at
+            logger.warning(
+                "clock of host %s differs by %.3f s, more than %.1f s",
+                host,
+                difference,
+                CLOCK_SKEW_BOUND,
+            )
--- a/radishshunt/peers.py
+++ b/radishshunt/peers.py
@@ -4,21 +4,26 @@
 
 import logging
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
 
 import trio
 
 from radishshunt.errors import PeerUnavailable, ProtocolError
+from radishshunt.model import HostInfo
 from radishshunt.wire.connection import PeerConnection, Stream
 from radishshunt.wire.messages import PROTOCOL_VERSION, Hello, Message
 
-if TYPE_CHECKING:
-    from radishshunt.model import HostInfo
-
 logger = logging.getLogger(__name__)
 
 DIAL_TIMEOUT_SECONDS = 0.5
 LISTEN_BACKLOG = 256
+# A connection with open streams that has been replaced, and on which nothing has arrived for this
+# long, is closed, so that the requests on it end.
+SILENT_SECONDS = 1.0
+# Connections without streams are closed by the side that dialled, and later by the other one, in
+# case the first is gone without a trace.
+IDLE_SECONDS = 30.0
+PEER_IDLE_SECONDS = 60.0
+CHECK_INTERVAL_SECONDS = 0.25
 
 Handler = Callable[[PeerConnection, Stream, Message], Awaitable[None]]
 
@@ -35,6 +40,8 @@
         self._handlers: dict[type, Handler] = {}
         self._hosts: dict[str, HostInfo] = {}
         self._dialled: dict[str, PeerConnection] = {}
+        self._replaced: set[PeerConnection] = set()
+        self._accepted: set[PeerConnection] = set()
         self._locks: dict[str, trio.Lock] = {}
         self._nursery: trio.Nursery | None = None
 
@@ -45,12 +52,17 @@
     def update_hosts(self, hosts: list[HostInfo]) -> None:
         """Take the addresses of other hosts."""
         for info in hosts:
-            if info.host != self.me.host:
-                self._hosts[info.host] = info
+            if info.host == self.me.host:
+                continue
+            known = self._hosts.get(info.host)
+            if known is not None and known.address != info.address:
+                self.forget(info.host)
+            self._hosts[info.host] = info
 
     def forget(self, host: str) -> None:
         """Drop a host that the platform's list no longer holds."""
         self._hosts.pop(host, None)
+        self._locks.pop(host, None)
         conn = self._dialled.pop(host, None)
         if conn is not None:
             conn.abort()
@@ -65,6 +77,7 @@
         ip, _, port = self.me.address.rpartition(":")
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            nursery.start_soon(self._check_connections)
             listeners = await trio.open_tcp_listeners(int(port), host=ip, backlog=LISTEN_BACKLOG)
             task_status.started()
             await trio.serve_listeners(self._accept, listeners, handler_nursery=nursery)
@@ -86,27 +99,83 @@
     async def call(self, host: str, msg: Message, timeout_seconds: float) -> Message:
         """Send a message to a host and return its answer.
 
-        A connection that does not answer in time is closed, since it may have gone silent.
+        If nothing at all arrives on the connection in the meantime, it may have gone silent. The
+        next call then uses a new connection, and the old one is closed unless its streams go on.
 
+        :param timeout_seconds: Time for the answer, apart from dialling.
         :raises PeerUnavailable: If there is no answer in time.
         """
-        conn = None
+        # Dialling has a time limit of its own: a limit for the answer of a near host would never
+        # let a connection to a distant one come about.
+        conn = await self.connection(host)
+        started_at = trio.current_time()
         try:
             with trio.fail_after(timeout_seconds):
-                conn = await self.connection(host)
                 return await conn.call(msg)
         except trio.TooSlowError:
-            if conn is not None:
-                conn.abort()
+            if conn.received_at < started_at:
+                self._replace(host, conn)
             raise PeerUnavailable(
                 f"host {host} did not answer within {timeout_seconds} s", may_have_arrived=True
             ) from None
 
+    async def learn(self, address: str) -> HostInfo:
+        """Find out which host is at an address, and remember it.
+
+        :param address: ``ip:port`` of a peer listener.
+        :raises PeerUnavailable: If no host answers there.
+        """
+        conn = await self._open(address)
+        assert conn.peer is not None
+        info = HostInfo(conn.peer.host, conn.peer.domain, address, conn.peer.incarnation)
+        conn.abort()
+        self.update_hosts([info])
+        return info
+
+    def _replace(self, host: str, conn: PeerConnection) -> None:
+        if self._dialled.get(host) is conn:
+            del self._dialled[host]
+        if conn.streams:
+            self._replaced.add(conn)
+        else:
+            conn.abort()
+        logger.info("the connection to %s is silent and is replaced", host)
+
+    async def _check_connections(self) -> None:
+        """Close silent and idle connections until cancelled."""
+        while True:
+            await trio.sleep(CHECK_INTERVAL_SECONDS)
+            now = trio.current_time()
+            for conn in list(self._replaced):
+                silent = now - conn.received_at > SILENT_SECONDS
+                if conn.closed or silent or not conn.streams:
+                    self._replaced.discard(conn)
+                    conn.abort()
+            for host, conn in list(self._dialled.items()):
+                if conn.closed or (not conn.streams and now - conn.received_at > IDLE_SECONDS):
+                    del self._dialled[host]
+                    conn.abort()
+            for conn in list(self._accepted):
+                if not conn.streams and now - conn.received_at > PEER_IDLE_SECONDS:
+                    logger.info("closed the silent connection from %s", conn.peer_name)
+                    conn.abort()
+
     async def _dial(self, host: str) -> PeerConnection:
         info = self._hosts.get(host)
-        if info is None or self._nursery is None:
+        if info is None:
             raise PeerUnavailable(f"host {host} is not known", may_have_arrived=False)
-        ip, _, port = info.address.rpartition(":")
+        conn = await self._open(info.address)
+        if conn.peer is None or conn.peer.host != host:
+            conn.abort()
+            raise PeerUnavailable(f"{info.address} is not host {host}", may_have_arrived=False)
+        return conn
+
+    async def _open(self, address: str) -> PeerConnection:
+        """Return a new connection whose peer has said its name."""
+        if self._nursery is None:
+            raise PeerUnavailable("this host does not run", may_have_arrived=False)
+        ip, _, port = address.rpartition(":")
+        conn = None
         try:
             with trio.fail_after(DIAL_TIMEOUT_SECONDS):
                 sock = await trio.open_tcp_stream(ip, int(port))
@@ -115,15 +184,26 @@
                 self._nursery.start_soon(self._carry, conn)
                 await conn.ready.wait()
         except (OSError, trio.TooSlowError) as exc:
-            raise PeerUnavailable(f"host {host}: {exc!r}", may_have_arrived=False) from exc
-        if conn.peer is None or conn.peer.host != host:
-            conn.abort()
-            raise PeerUnavailable(f"{info.address} is not host {host}", may_have_arrived=False)
+            if conn is not None:
+                conn.abort()
+            raise PeerUnavailable(f"{address}: {exc!r}", may_have_arrived=False) from exc
+        except trio.Cancelled:
+            # The caller's time is over; a connection without a hello would stay open unused.
+            if conn is not None:
+                conn.abort()
+            raise
+        if conn.peer is None:
+            raise PeerUnavailable(f"{address} closed the connection", may_have_arrived=False)
         return conn
 
     async def _accept(self, sock: trio.SocketStream) -> None:
         sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
-        await self._carry(PeerConnection(sock, self._hello, self._handle, opens_even=True))
+        conn = PeerConnection(sock, self._hello, self._handle, opens_even=True)
+        self._accepted.add(conn)
+        try:
+            await self._carry(conn)
+        finally:
+            self._accepted.discard(conn)
 
     async def _carry(self, conn: PeerConnection) -> None:
         try:
--- a/radishshunt/planning.py
+++ b/radishshunt/planning.py
@@ -93,4 +93,4 @@
         if key in result.versions:
             await self._sync.announce_row(replace(row, version=result.versions[key]))
         else:
-            await self._sync.read_platform()
+            await self._sync.refresh_row(row.group)
--- a/radishshunt/platform/transactions.py
+++ b/radishshunt/platform/transactions.py
@@ -6,6 +6,7 @@
 
 from radishshunt.errors import OutcomeUnknown, PlatformUnavailable
 from radishshunt.platform import CommitResult, CommitStatus, Table, Transaction
+from radishshunt.platform.changes import mark_changes
 
 READ_BACK_ATTEMPTS = 3
 READ_BACK_PAUSE_SECONDS = 0.2
@@ -14,9 +15,12 @@
 async def commit(table: Table, tx: Transaction) -> CommitResult:
     """Commit a transaction; if the answer is lost, find out how it ended.
 
+    Rows of groups are marked as changed in the same transaction.
+
     :raises OutcomeUnknown: If the table does not say how the transaction ended.
     :raises PlatformUnavailable: If the transaction had no effect.
     """
+    tx = mark_changes(tx)
     try:
         return await table.commit(tx)
     except OutcomeUnknown as exc:
--- a/radishshunt/wire/codec.py
+++ b/radishshunt/wire/codec.py
@@ -23,6 +23,7 @@
     Hello,
     Intent,
     Intents,
+    Member,
     Message,
     Probe,
     ProbeAnswer,
@@ -206,6 +207,16 @@
     part.catalogVersion = msg.catalog_version
     part.leaving = msg.leaving
     part.sentAt = msg.sent_at
+    part.platformSeenAt = msg.platform_seen_at
+    part.rowsDigest = msg.rows_digest
+    part.membersDigest = msg.members_digest
+    for item, member in zip(part.init("members", len(msg.members)), msg.members, strict=True):
+        item.host = member.host
+        item.incarnation = member.incarnation
+        item.domain = member.domain
+        item.address = member.address
+        item.state = int(member.state)
+        item.at = member.at
     for item, group in zip(part.init("groups", len(msg.groups)), msg.groups, strict=True):
         item.service = group.service
         item.group = group.group
@@ -231,6 +242,12 @@
         ],
         leaving=part.leaving,
         sent_at=part.sentAt,
+        platform_seen_at=part.platformSeenAt,
+        rows_digest=part.rowsDigest,
+        members_digest=part.membersDigest,
+        members=[
+            Member(m.host, m.incarnation, m.domain, m.address, m.state, m.at) for m in part.members
+        ],
     )
 
 
--- a/radishshunt/wire/connection.py
+++ b/radishshunt/wire/connection.py
@@ -134,9 +134,16 @@
         self._outgoing_send, self._outgoing = trio.open_memory_channel[bytes](OUTGOING_FRAMES)
         self._parity = 0 if opens_even else 1
         self.peer: Hello | None = None
+        # Time of trio's clock at which data last arrived.
+        self.received_at = trio.current_time()
         self.ready = trio.Event()
         self.closed = False
 
+    @property
+    def streams(self) -> int:
+        """Number of open streams."""
+        return len(self._streams)
+
     @property
     def peer_name(self) -> str:
         """Name of the peer's host, or ``?`` before its hello."""
@@ -249,6 +256,7 @@
                 data = await self._sock.receive_some(READ_BYTES)
                 if not data:
                     return
+                self.received_at = trio.current_time()
                 buffer += data
                 for frame in _split_frames(buffer):
                     number, msg = decode(frame)
--- a/radishshunt/wire/messages.py
+++ b/radishshunt/wire/messages.py
@@ -46,11 +46,31 @@
     expires_at: float
 
 
+@dataclass(slots=True)
+class Member:
+    """What is known of a host, as it spreads with heartbeats.
+
+    :param state: Value of :class:`radishshunt.members.State`.
+    :param at: When it became known, in seconds since the Unix epoch; later news wins.
+    """
+
+    host: str
+    incarnation: int
+    domain: str
+    address: str
+    state: int
+    at: float
+
+
 @dataclass(slots=True)
 class Heartbeat:
     """State of a host, sent to its peers and answered with their own.
 
     :param sent_at: Seconds since the Unix epoch on the sender's clock.
+    :param platform_seen_at: Latest time at which a host known to the sender read the platform.
+    :param rows_digest: Digest of the generations of all rows that the sender knows.
+    :param members_digest: Digest of the sender's view of the hosts.
+    :param members: News of hosts.
     """
 
     host: str
@@ -62,6 +82,10 @@
     suspects: list[Suspect] = field(default_factory=list)
     leaving: bool = False
     sent_at: float = 0.0
+    platform_seen_at: float = 0.0
+    rows_digest: int = 0
+    members_digest: int = 0
+    members: list[Member] = field(default_factory=list)
 
 
 @dataclass(slots=True)
--- a/radishshunt/wire/radishshunt.capnp
+++ b/radishshunt/wire/radishshunt.capnp
@@ -28,6 +28,15 @@
   expiresAt @3 :Float64;
 }
 
+struct Member {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  domain @2 :Text;
+  address @3 :Text;
+  state @4 :UInt8;
+  at @5 :Float64;
+}
+
 struct Heartbeat {
   host @0 :Text;
   incarnation @1 :UInt64;
@@ -38,6 +47,10 @@
   suspects @6 :List(Suspect);
   leaving @7 :Bool;
   sentAt @8 :Float64;
+  platformSeenAt @9 :Float64;
+  rowsDigest @10 :UInt64;
+  membersDigest @11 :UInt64;
+  members @12 :List(Member);
 }
 
 struct RequestHead {
