--- a/radishshunt/app.py
+++ b/radishshunt/app.py
@@ -6,8 +6,6 @@
 from typing import TYPE_CHECKING, Any
 
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from radishshunt.admin import build_app
 from radishshunt.clock import Clock, SystemClock
@@ -15,25 +13,26 @@
 from radishshunt.directory import Directory
 from radishshunt.dispatch.manager import DispatchManager
 from radishshunt.frontend import Frontend
+from radishshunt.http_server import HttpServer
 from radishshunt.members import Members
 from radishshunt.membership import Membership
+from radishshunt.memory import BodyMemory
 from radishshunt.metrics import Metrics
 from radishshunt.model import HostInfo, HostRef, ip_of, new_incarnation
 from radishshunt.peers import PeerNetwork
 from radishshunt.planning import Planning
 from radishshunt.platform.http import connect
 from radishshunt.router import Router
+from radishshunt.status import explain, host_status, hosts_status, update_metrics
 from radishshunt.supervisor import Supervisor
 from radishshunt.sync import Sync
 from radishshunt.wire.messages import Heartbeat
 
 if TYPE_CHECKING:
-    from quart_trio import QuartTrio
-
     from radishshunt.platform import Platform
     from radishshunt.release.catalog import Catalog
     from radishshunt.release.note import ReleaseNote
-    from radishshunt.settings import Settings, TlsSection
+    from radishshunt.settings import Settings
 
 logger = logging.getLogger(__name__)
 
@@ -98,12 +97,20 @@
             self.sync,
             self.platform.table,
         )
+        self.memory = BodyMemory(cfg.limits.body_memory_bytes)
         self.router = Router(
-            self.me.host, self.directory, self.dispatch, self.network, self.clock, self.metrics
+            self.me.host,
+            self.directory,
+            self.dispatch,
+            self.network,
+            self.clock,
+            self.metrics,
+            self.memory,
         )
-        self.frontend = Frontend(self.router, cfg.limits, self.clock, self.metrics)
         self._pairs: tuple[int, frozenset[str]] = (0, frozenset())
+        self.frontend = Frontend(self.router, cfg.limits, self.clock, self.metrics, self.memory)
         self.leaving = False
+        self._callers_server: HttpServer | None = None
         self.started = trio.Event()
         self._stop = trio.Event()
 
@@ -111,6 +118,9 @@
         """Begin a graceful stop."""
         self.leaving = True
         self.members.declare(leaving=True)
+        if self._callers_server is not None:
+            # Answers now close their connections, so that no caller sends on one that ends.
+            self._callers_server.leaving = True
         self._stop.set()
 
     async def run(self) -> None:
@@ -161,54 +171,19 @@
 
     def status(self) -> dict[str, Any]:
         """Return this host's state and what it knows of the others."""
-        return {
-            "host": self.me.host,
-            "domain": self.me.domain,
-            "incarnation": self.me.incarnation,
-            "version": self.directory.catalog.version,
-            "digest": self.directory.catalog.digest,
-            "domains": {n: s.value for n, s in self.directory.catalog.domains.items()},
-            "groups": [
-                {
-                    "service": s.service,
-                    "group": s.group,
-                    "generation": s.generation,
-                    "load": round(s.load, 3),
-                }
-                for s in self.dispatch.states()
-            ],
-            "hosts": [
-                {"host": info.host, "domain": info.domain, "leaving": info.leaving}
-                for info in self.membership.live_hosts()
-            ],
-        }
+        return host_status(self)
+
+    def hosts_status(self) -> dict[str, Any]:
+        """Return host by host which version is in force."""
+        return hosts_status(self)
 
     def explain(self, service: str, key: str) -> dict[str, Any]:
         """Return who serves a key and why."""
-        spec = self.directory.catalog.services[service]
-        if not spec.keyed:
-            return {"service": service, "keyed": False}
-        location = self.directory.locate(service, key)
-        if location is None:
-            return {"service": service, "keyed": True, "reason": "no row lists the key's slice"}
-        row = self.directory.rows[location.group]
-        pair = row.slices[location.slice]
-        return {
-            "service": service,
-            "keyed": True,
-            "slice": location.slice,
-            "group": location.group.group,
-            "generation": location.dispatcher.generation,
-            "dispatcher": location.dispatcher.host,
-            "owner": pair.owner,
-            "standby": pair.standby,
-            "reason": f"row of generation {row.generation} in the platform's table",
-        }
+        return explain(self, service, key)
 
     def render_metrics(self) -> bytes:
         """Return the host's metrics in Prometheus text format."""
-        self.metrics.groups.set(len(self.dispatch.groups))
-        self.metrics.catalog_version.set(self.directory.catalog.version)
+        update_metrics(self)
         return self.metrics.render()
 
     async def _run_parts(self) -> None:
@@ -226,11 +201,17 @@
 
     async def _serve_callers(self) -> None:
         cfg = self.cfg.callers
-        await _serve(self.frontend.app, cfg.address, cfg.tls)
+        limit = self.cfg.limits.connections
+        server = HttpServer(
+            self.frontend.app, cfg.address, name="callers", tls=cfg.tls, connections=limit
+        )
+        self._callers_server = server
+        server.leaving = self.leaving
+        await server.run()
 
     async def _serve_admin(self) -> None:
         cfg = self.cfg.admin
-        await _serve(build_app(self), cfg.address, cfg.tls)
+        await HttpServer(build_app(self), cfg.address, name="admin", tls=cfg.tls).run()
 
     async def _wait_idle(self) -> None:
         with trio.move_on_after(self.cfg.limits.stop_seconds):
@@ -255,21 +236,3 @@
 
     def _on_catalog(self, catalog: Catalog) -> None:
         self.metrics.catalog_version.set(catalog.version)
-
-
-async def _serve(app: QuartTrio, address: str, tls: TlsSection | None) -> None:
-    config = Config()
-    config.bind = [address]
-    config.accesslog = None
-    config.errorlog = logging.getLogger("radishshunt.http")
-    config.include_server_header = False
-    config.graceful_timeout = 1.0
-    if tls is not None:
-        config.certfile = str(tls.certificate)
-        config.keyfile = str(tls.key)
-        if tls.client_ca is not None:
-            import ssl
-
-            config.ca_certs = str(tls.client_ca)
-            config.verify_mode = ssl.CERT_REQUIRED
-    await serve(app, config, shutdown_trigger=trio.sleep_forever)
--- a/radishshunt/membership.py
+++ b/radishshunt/membership.py
@@ -100,6 +100,10 @@
             return False
         return self._exists(host)
 
+    def last_heartbeat(self, host: str) -> Heartbeat | None:
+        """Return the last heartbeat of a host, or ``None`` if there was none."""
+        return self._last.get(host)
+
     def live_hosts(self) -> list[HostInfo]:
         """Return the live hosts and this one, in order of name, with their incarnations."""
         me = self._network.me
