Restart all slice averages when several slices shift at once

Cause: the 8 s average kept the old rates of keys whose change was too small to be noticed alone, so placement worked on wrong figures for seconds after a shift. Change: three slices beyond 4 standard deviations restart all averages; the count of the last 0.5 s is compared with the average.

--- a/radishshunt/experiment/profiles.py
+++ b/radishshunt/experiment/profiles.py
@@ -47,6 +47,7 @@
     heat: dict[str, Any] = field(default_factory=dict)
     hot_keys: dict[str, Any] = field(default_factory=dict)
     fifo: bool = False
+    send_ahead: int = 0
     no_hedging: bool = False
     no_isolation: bool = False
 
@@ -63,6 +64,7 @@
             ExpectedWait(queue_limit, **self._c.admission),
             Fifo() if self._c.fifo else AdaptiveLifo(**self._c.order),
             Ramp(slots, cold_slots, cold_seconds, **self._c.ramp),
+            self._c.send_ahead,
         )
 
     def balancing(self) -> Balancing:
--- a/radishshunt/placement/heat.py
+++ b/radishshunt/placement/heat.py
@@ -2,68 +2,90 @@
 
 from __future__ import annotations
 
-from math import exp, sqrt
+from collections import deque
+from math import sqrt
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-# Averaging times of the fast and of the slow estimate.
-FAST_SECONDS = 1.0
-SLOW_SECONDS = 8.0
-# Standard deviations between the estimates from which the slow one is given up.
+# Averaging time while nothing shifts.
+AVERAGE_SECONDS = 8.0
+# Time whose counts are compared with the average to notice a shift.
+RECENT_SECONDS = 0.5
+# Standard deviations of the recent count from which a slice's average starts anew.
 SHIFT_DEVIATIONS = 4.0
+# Slices shifting at once from which all averages start anew: the smaller changes that belong to
+# the same shift can't be told from noise one by one, and would stay for the averaging time.
+SHIFT_SLICES = 3
 
 
 class HeatEstimator:
-    """Follows shifts of the load quickly without taking noise for a shift.
-
-    A slow average has little noise but follows a shift late. Each slice uses the slow average
-    until the fast one differs from it by more than chance explains.
-    """
+    """Averages over a long time, and over the time since a shift if there was one."""
 
     def __init__(
         self,
-        fast_seconds: float = FAST_SECONDS,
-        slow_seconds: float = SLOW_SECONDS,
+        average_seconds: float = AVERAGE_SECONDS,
+        recent_seconds: float = RECENT_SECONDS,
         shift_deviations: float = SHIFT_DEVIATIONS,
+        shift_slices: int = SHIFT_SLICES,
     ) -> None:
-        self._fast_seconds = fast_seconds
-        self._slow_seconds = slow_seconds
+        self._average_seconds = average_seconds
+        self._recent_seconds = recent_seconds
         self._deviations = shift_deviations
-        self._fast: dict[int, float] = {}
-        self._slow: dict[int, float] = {}
-        self._elapsed = 0.0
-        self._window: dict[int, float] = {}
+        self._shift_slices = shift_slices
+        self._rates: dict[int, float] = {}
+        self._windows: dict[int, float] = {}
+        self._recent: deque[tuple[Mapping[int, int], float]] = deque()
 
     def update(self, counts: Mapping[int, int], seconds: float) -> None:
         """Take the requests of each slice in the last interval.
 
         :param seconds: Length of the interval.
         """
-        fast_weight = 1 - exp(-seconds / self._fast_seconds)
-        for number in counts.keys() | self._slow.keys():
-            rate = counts.get(number, 0) / seconds
-            if number not in self._slow:
-                self._fast[number] = self._slow[number] = rate
-                self._window[number] = seconds
+        span = self._remember(counts, seconds)
+        totals: dict[int, int] = {}
+        for interval, _ in self._recent:
+            for number, requests in interval.items():
+                totals[number] = totals.get(number, 0) + requests
+        shifted = self._shifted(totals, span)
+        if len(shifted) >= self._shift_slices:
+            shifted = set(self._rates.keys() | totals.keys())
+        for number in self._rates.keys() | counts.keys():
+            if number in shifted:
+                self._rates[number] = totals.get(number, 0) / span
+                self._windows[number] = span
                 continue
-            # A slice's first answers count fully: its window grows up to the slow one.
-            window = min(self._window[number] + seconds, self._slow_seconds)
-            self._window[number] = window
-            fast = self._fast[number] + fast_weight * (rate - self._fast[number])
-            slow = self._slow[number] + min(1.0, seconds / window) * (rate - self._slow[number])
-            noise = sqrt(max(slow, fast, 1.0) / (2 * self._fast_seconds))
-            if abs(fast - slow) > self._deviations * noise:
-                slow = fast
-                self._window[number] = 2 * self._fast_seconds
-            self._fast[number], self._slow[number] = fast, slow
+            known = self._rates.get(number, 0.0)
+            window = min(self._windows.get(number, 0.0) + seconds, self._average_seconds)
+            rate = counts.get(number, 0) / seconds
+            self._rates[number] = known + min(1.0, seconds / window) * (rate - known)
+            self._windows[number] = window
 
     def rates(self) -> dict[int, float]:
         """Return the requests per second of each slice."""
-        return self._slow
+        return self._rates
 
     def counted(self, targets: int) -> float:
         """Return how many requests the rates of one average target are based on."""
-        total = sum(rate * self._window[number] for number, rate in self._slow.items())
+        total = sum(rate * self._windows[number] for number, rate in self._rates.items())
         return total / max(1, targets)
+
+    def _remember(self, counts: Mapping[int, int], seconds: float) -> float:
+        """Add an interval to the recent ones and return the time that they cover."""
+        self._recent.append((counts, seconds))
+        span = sum(length for _, length in self._recent)
+        while span - self._recent[0][1] >= self._recent_seconds - 1e-9:
+            span -= self._recent.popleft()[1]
+        return span
+
+    def _shifted(self, totals: Mapping[int, int], span: float) -> set[int]:
+        shifted = set()
+        for number, rate in self._rates.items():
+            if self._windows[number] <= span:
+                continue
+            expected = rate * span
+            seen = totals.get(number, 0)
+            if abs(seen - expected) > self._deviations * sqrt(max(expected, seen, 1.0)):
+                shifted.add(number)
+        return shifted
--- a/radishshunt/policy/lane_state.py
+++ b/radishshunt/policy/lane_state.py
@@ -42,12 +42,20 @@
     :meth:`start`, and otherwise by :meth:`expire` or :meth:`withdraw`.
 
     :param slots: Requests that the target runs at once when it is warm.
+    :param send_ahead: Requests sent beyond the slots while the target is warm. They keep the
+        slots busy during the round trip, but need a target with a queue of its own.
     """
 
     def __init__(
-        self, slots: int, admission: Admission, order: QueueOrder, cold_start: ColdStart
+        self,
+        slots: int,
+        admission: Admission,
+        order: QueueOrder,
+        cold_start: ColdStart,
+        send_ahead: int = 0,
     ) -> None:
         self.slots = slots
+        self._send_ahead = send_ahead
         self.service_seconds = FIRST_SERVICE_SECONDS
         self.running: list[W] = []
         self.waiting: deque[W] = deque()
@@ -66,7 +74,8 @@
     def bound(self, now: float) -> int:
         """Return how many requests may run at once now."""
         idle = self._unproven_seconds if self.running else now - self._idle_since
-        return self._cold_start.bound(now, idle)
+        bound = self._cold_start.bound(now, idle)
+        return bound if bound < self.slots else bound + self._send_ahead
 
     def cold(self, now: float) -> bool:
         """Return whether the bound is lowered because of a cold start."""
