Limit what placement does while the platform's table is down

Cause: with the table down only moves to the standby are possible, and placement proposed others, so a straggler kept its slices. Change: agreed_only restricts placement to standbys, up to 0.9 utilisation of the standby, because such a move can't be taken back before the table is up.

--- a/radishshunt/experiment/control.py
+++ b/radishshunt/experiment/control.py
@@ -8,7 +8,14 @@
 import numpy as np
 
 from radishshunt.clock import CLOCK_SKEW_BOUND
-from radishshunt.experiment.deployments import KEYS, REPORT_DELAY_SECONDS, SLICES
+from radishshunt.experiment.deployments import (
+    COLD_SLOTS,
+    COLD_SLOWDOWN,
+    KEYS,
+    REPORT_DELAY_SECONDS,
+    SLICES,
+    SLOTS,
+)
 from radishshunt.ownership import LOST_AFTER_SECONDS, RENEW_INTERVAL_SECONDS
 from radishshunt.placement import Place, PlacementView
 from radishshunt.placement.balanced import Balanced
@@ -243,6 +250,8 @@
             counted=self.heat.counted(len(sim.lanes)),
             moved_at=self._moved_at,
             standbys={number: lane.target.name for number, lane in self.standby.items()},
+            agreed_only=not self.platform_up,
+            utilisation=self._utilisation(),
         )
         for move in self.placement.moves(view):
             if forced_only and not move.forced:
@@ -260,6 +269,10 @@
                 self._agreed_used.add(move.slice)
                 self._move(move)
 
+    def _utilisation(self) -> float:
+        service = float(np.median([lane.state.service_seconds for lane in self.sim.lanes]))
+        return sum(self.heat.rates().values()) * service / (SLOTS * len(self.sim.lanes))
+
     def _place(self, lane: SimLane) -> Place:
         target = lane.target
         capacity = capacity_of(
@@ -317,8 +330,19 @@
         self.sim.balancers[group].on_report(lane.target.name, load)
         self.sim.detectors[group].on_report(lane.target.name, load)
 
+    def _usable_share(self) -> float:
+        """Return the capacity of the targets that take work, relative to that of all."""
+        total = 0.0
+        for lane in self.sim.lanes:
+            if lane.takes_work and lane.target.alive:
+                cold = self.sim.now < lane.target.cold_until
+                share = COLD_SLOTS / SLOTS / COLD_SLOWDOWN if cold else 1.0
+                total += share / lane.target.slowdown
+        return total / len(self.sim.lanes)
+
     def _sample(self) -> None:
         if not self.sim.keyed:
+            self.records.usable.append((self.sim.now, self._usable_share()))
             return
         loads = self.true_loads()
         full = [
@@ -329,5 +353,6 @@
             and lane.target.slowdown == 1.0
             and self.sim.now > lane.target.cold_until + 5.0
         ]
+        self.records.usable.append((self.sim.now, self._usable_share()))
         if full:
             self.records.imbalances.append((self.sim.now, max(full) / (sum(full) / len(full))))
--- a/radishshunt/experiment/profiles.py
+++ b/radishshunt/experiment/profiles.py
@@ -91,7 +91,8 @@
 class Contender:
     """One side of a comparison.
 
-    :param name: ``policy``, ``static`` or ``reported``.
+    :param name: ``static`` and ``reported`` are the baselines; all others are the policy with
+        some constants.
     """
 
     name: str
@@ -100,7 +101,7 @@
     @property
     def adaptive(self) -> bool:
         """Whether this is the policy and not a baseline."""
-        return self.name == "policy"
+        return self.name not in ("static", "reported")
 
     def profile(self) -> Profile:
         """Return the dispatcher's policies."""
@@ -126,3 +127,5 @@
 POLICY = Contender("policy")
 STATIC = Contender("static")
 REPORTED = Contender("reported")
+# The policy with one request sent beyond a warm target's slots, for targets with a queue.
+AHEAD = Contender("policy, send-ahead 1", Constants(send_ahead=1))
--- a/radishshunt/experiment/records.py
+++ b/radishshunt/experiment/records.py
@@ -14,6 +14,7 @@
 
     :ivar repeated: Repeated calls by callers.
     :ivar imbalances: Time and max/mean load of the targets in full service.
+    :ivar usable: Time and capacity of the targets that take work, relative to that of all.
     :ivar moved: Time, slice, number of its keys, and whether the move was forced.
     :ivar waits: Time of a loss, and seconds until the keys of a slice were served again, with
         their number.
@@ -26,6 +27,7 @@
     unknown: int = 0
     repeated: int = 0
     imbalances: list[tuple[float, float]] = field(default_factory=list)
+    usable: list[tuple[float, float]] = field(default_factory=list)
     moved: list[tuple[float, int, int, bool]] = field(default_factory=list)
     least_moves: float = 0.0
     unavailable_key_seconds: float = 0.0
--- a/radishshunt/experiment/scenarios.py
+++ b/radishshunt/experiment/scenarios.py
@@ -78,6 +78,10 @@
     sim.at(WARM_UP_SECONDS - 0.5, _forget_warm_up, sim)
     sim.run(scenario.seconds)
     figures = before.figures(WARM_UP_SECONDS, scenario.seconds)
+    allowed = [
+        min(1.0, share / scenario.load) for time, share in before.usable if time > WARM_UP_SECONDS
+    ]
+    figures["allowed_percent"] = 100 * sum(allowed) / len(allowed)
     figures["goodput_share"] = figures["goodput"] / capacity
     if shifts:
         figures["imbalance_after_shift"] = max(shifts)
--- a/radishshunt/placement/__init__.py
+++ b/radishshunt/placement/__init__.py
@@ -34,6 +34,9 @@
         ignores differences that may be noise.
     :param moved_at: Time of the last move of a slice, in seconds since the Unix epoch.
     :param standbys: Standby of each slice.
+    :param agreed_only: Whether the platform's table is down, so that a slice can only move to
+        its standby.
+    :param utilisation: Busy share of the slots of an average target.
     :param now: Seconds since the Unix epoch.
     """
 
@@ -44,6 +47,8 @@
     counted: float = 1000.0
     moved_at: Mapping[int, float] = field(default_factory=dict)
     standbys: Mapping[int, str] = field(default_factory=dict)
+    agreed_only: bool = False
+    utilisation: float = 0.5
 
 
 @dataclass(frozen=True, slots=True)
--- a/radishshunt/placement/balanced.py
+++ b/radishshunt/placement/balanced.py
@@ -22,6 +22,8 @@
 STAY_SECONDS = 5.0
 # Unforced moves in one round. Each makes its keys wait for one fence, one write and one grant.
 MOVES_PER_ROUND = 24
+# Busy share of its slots up to which a standby takes slices over while the table is down.
+AGREED_UTILISATION = 0.9
 # Largest slice, relative to a target's mean load, of a target that can make room for a hot one.
 ROOM_SHARE = 0.25
 # Difference between two targets' utilisation, relative to the mean, that a slice changes its
@@ -79,7 +81,7 @@
         numbers = [number for number, owner in view.owners.items() if state.capacity(owner) <= 0]
         result = []
         for number in sorted(numbers, key=lambda n: (-state.load(n), n)):
-            to = state.receiver(number, view.standbys.get(number), float("inf"))
+            to = state.receiver(number, float("inf"))
             if to is not None:
                 result.append(state.move(number, to, forced=True))
         return result
@@ -100,7 +102,7 @@
                     continue
                 # A slice that is larger than the excess may only go where it ends up less used.
                 bound = fill if state.load(number) <= excess * 1.1 else state.used[source] * 0.95
-                to = state.receiver(number, None, bound)
+                to = state.receiver(number, bound)
                 if to is not None:
                     return state.move(number, to, forced=False)
             full.add(source)
@@ -130,6 +132,8 @@
 
     def __init__(self, view: PlacementView, group_preference: float) -> None:
         self._load = view.load
+        self._standbys = view.standbys
+        self._agreed_only = view.agreed_only
         self._places: dict[str, Place] = {place.name: place for place in view.places}
         self._usable = [place for place in view.places if place.capacity > 0]
         self._owner = dict(view.owners)
@@ -140,6 +144,7 @@
         capacity = sum(place.capacity for place in self._usable)
         self.mean = sum(view.load.get(n, 0.0) for n in view.owners) / capacity
         self._preference = group_preference * self.mean
+        self._agreed_bound = self.mean * AGREED_UTILISATION / max(view.utilisation, 0.01)
         self.used = {
             place.name: sum(self.load(n) for n in self.owned[place.name]) / place.capacity
             for place in self._usable
@@ -156,18 +161,27 @@
         names = [name for name in self.used if name not in skipped]
         return max(names, key=lambda name: (self.used[name], name), default=None)
 
-    def receiver(self, number: int, standby: str | None, bound: float) -> str | None:
+    def receiver(self, number: int, bound: float) -> str | None:
         """Return the target that a slice fits best, or ``None`` if it fits none.
 
-        :param standby: Preferred at equal use, because it needs no new pair of targets.
+        The standby is preferred at equal use, because it needs no new pair of targets.
+
         :param bound: Use that the receiving target may reach.
         """
+        standby = self._standbys.get(number)
+        if self._agreed_only:
+            # The only choice need not be a good one, but a move can't be taken back before the
+            # table is up, so it must not overload the standby either.
+            source_use = self.used.get(self._owner[number], float("inf"))
+            bound = max(bound, min(0.95 * source_use, self._agreed_bound))
         owner = self._places.get(self._owner[number])
         group = owner.group if owner is not None else -1
         best, best_use = None, float("inf")
         for place in self._usable:
             if place.name == self._owner[number]:
                 continue
+            if self._agreed_only and place.name != standby:
+                continue
             after = self.used[place.name] + self.load(number) / place.capacity
             if after > bound:
                 continue
@@ -182,7 +196,7 @@
     def roomiest(self, number: int, limit: float) -> str | None:
         """Return the least used target whose largest slice fits beside this one."""
         best = None
-        for place in self._usable:
+        for place in [] if self._agreed_only else self._usable:
             if place.capacity < 1.0 or place.name == self._owner[number]:
                 continue
             largest = max((self.load(n) for n in self.owned[place.name]), default=0.0)
