--- a/radishshunt/experiment/control.py
+++ b/radishshunt/experiment/control.py
@@ -282,6 +282,7 @@
             self.drain,
             lane.takes_work and lane.serving,
             self.sim.now,
+            self.sim.contender.constants.straggler_share,
         )
         return Place(target.name, target.group, target.domain, capacity)
 
--- a/radishshunt/experiment/deployments.py
+++ b/radishshunt/experiment/deployments.py
@@ -34,6 +34,7 @@
     :param client_seconds: One-way latency between callers and entry hosts.
     :param workers: Targets of the keyed service.
     :param anyone: Targets of the service without keys.
+    :param service_seconds: Mean service time on a warm target.
     """
 
     name: str
@@ -43,10 +44,11 @@
     workers: int
     anyone: int
     hosts: int = 11
+    service_seconds: float = SERVICE_SECONDS
 
     def capacity(self, targets: int) -> float:
         """Return the requests per second that warm targets run if their slots never idle."""
-        return targets * SLOTS / SERVICE_SECONDS
+        return targets * SLOTS / self.service_seconds
 
 
 LANDESAMT = Deployment(
--- a/radishshunt/experiment/profiles.py
+++ b/radishshunt/experiment/profiles.py
@@ -12,6 +12,8 @@
 from radishshunt.policy.admission.expected_wait import ExpectedWait
 from radishshunt.policy.balancing.expected_wait import LeastExpectedWait
 from radishshunt.policy.balancing.reported_load import ReportedLoad
+from radishshunt.policy.budgets import REFUSAL_RATIO, RETRY_RATIO
+from radishshunt.policy.capacity import STRAGGLER_SHARE
 from radishshunt.policy.cold_start.ramp import Ramp
 from radishshunt.policy.drain.staged import Staged
 from radishshunt.policy.hedging.budgeted import Budgeted
@@ -48,6 +50,9 @@
     hot_keys: dict[str, Any] = field(default_factory=dict)
     fifo: bool = False
     send_ahead: int = 0
+    retry_ratio: float = RETRY_RATIO
+    refusal_ratio: float = REFUSAL_RATIO
+    straggler_share: float = STRAGGLER_SHARE
     no_hedging: bool = False
     no_isolation: bool = False
 
--- a/radishshunt/experiment/scenarios.py
+++ b/radishshunt/experiment/scenarios.py
@@ -54,7 +54,13 @@
     """Run an experiment and return its figures."""
     targets = deployment.workers if scenario.keyed else deployment.anyone
     capacity = deployment.capacity(targets)
-    workload = make_workload(scenario.load * capacity, scenario.seconds, seed, scenario.shift_times)
+    workload = make_workload(
+        scenario.load * capacity,
+        scenario.seconds,
+        seed,
+        scenario.shift_times,
+        service_seconds=deployment.service_seconds,
+    )
     sim = Simulation(
         deployment,
         contender,
@@ -188,6 +194,7 @@
 
 
 STEADY = Scenario("steady")
+LIGHT = Scenario("light load", load=0.1)
 HEAT = Scenario("heat moves", seconds=180.0, shift_times=SHIFT_TIMES)
 COME_AND_GO = Scenario("targets come and go", seconds=60.0, faults=come_and_go)
 LOSE_ONE = Scenario("target lost", seconds=30.0, faults=lose_one)
@@ -251,4 +258,4 @@
     )
 ]
 ALL = [*KEYED, *OUTAGE, *ANYONE]
-BY_NAME = {scenario.name: scenario for scenario in ALL}
+BY_NAME = {scenario.name: scenario for scenario in (*ALL, LIGHT)}
--- a/radishshunt/experiment/simulation.py
+++ b/radishshunt/experiment/simulation.py
@@ -11,14 +11,13 @@
     CALLER_TIMEOUT_SECONDS,
     COLD_SECONDS,
     COLD_SLOTS,
-    SERVICE_SECONDS,
     SLOTS,
     TARGETS_PER_GROUP,
 )
 from radishshunt.experiment.records import Records
 from radishshunt.experiment.targets import EmulatedTarget
 from radishshunt.policy.balancing import Candidate
-from radishshunt.policy.budgets import REFUSAL_RATIO, RETRY_RATIO, TokenBudget
+from radishshunt.policy.budgets import TokenBudget
 from radishshunt.policy.lane_state import LaneState, Waiter
 
 if TYPE_CHECKING:
@@ -125,8 +124,8 @@
         self.detectors = [self.profile.stragglers() for _ in range(groups)]
         self.balancers = [self.profile.balancing() for _ in range(groups)]
         self.hedgers = [self.profile.hedging() for _ in range(groups)]
-        self.refusals = [TokenBudget(REFUSAL_RATIO) for _ in range(groups)]
-        self.retries = TokenBudget(RETRY_RATIO)
+        self.refusals = [TokenBudget(contender.constants.refusal_ratio) for _ in range(groups)]
+        self.retries = TokenBudget(contender.constants.retry_ratio)
         self.owner: dict[int, SimLane] = {}
         self.available_at: dict[int, float] = {}
         self.counts: dict[int, int] = {}
@@ -237,7 +236,7 @@
             domain = d.domains[index * len(d.domains) // total]
             target = EmulatedTarget(f"target-{index:02d}", domain, index % groups)
             state = self.profile.lane(SLOTS, COLD_SLOTS, COLD_SECONDS, QUEUE_LIMIT)
-            state.service_seconds = SERVICE_SECONDS
+            state.service_seconds = d.service_seconds
             lanes.append(SimLane(target, state, index))
         return lanes
 
--- a/radishshunt/experiment/targets.py
+++ b/radishshunt/experiment/targets.py
@@ -39,7 +39,7 @@
         self.connects = 0
         self._free = [0.0] * SLOTS
         self._ends: list[float] = []
-        self._idle: list[tuple[float, int]] = []
+        self._idle: dict[int, list[tuple[float, int]]] = {}
 
     @property
     def present(self) -> int:
@@ -51,21 +51,23 @@
         self._forget(now)
         return len(self._ends) / SLOTS
 
-    def connect(self, now: float) -> tuple[float, bool]:
+    def connect(self, now: float, sender: int = 0) -> tuple[float, bool]:
         """Take a connection out of the sender's pool, or open one.
 
+        :param sender: Number of the host that sends.
         :return: The seconds that it takes, and whether it was one to an earlier incarnation.
         """
-        while self._idle:
-            used_at, incarnation = self._idle.pop()
+        idle = self._idle.get(sender)
+        while idle:
+            used_at, incarnation = idle.pop()
             if now - used_at < KEEPALIVE_SECONDS:
                 return 0.0, incarnation != self.incarnation
         self.connects += 1
         return NEW_CONNECTION_SECONDS, False
 
-    def put_back(self, now: float, incarnation: int) -> None:
+    def put_back(self, now: float, incarnation: int, sender: int = 0) -> None:
         """Return a connection to the pool."""
-        self._idle.append((now, incarnation))
+        self._idle.setdefault(sender, []).append((now, incarnation))
 
     def arrive(self, now: float, service: float) -> float | None:
         """Take a request.
--- a/radishshunt/experiment/workload.py
+++ b/radishshunt/experiment/workload.py
@@ -57,6 +57,7 @@
     shift_times: Sequence[float] = (),
     slices: int = SLICES,
     exponent: float = ZIPF_EXPONENT,
+    service_seconds: float = SERVICE_SECONDS,
 ) -> Workload:
     """Return the requests of a run.
 
@@ -79,7 +80,7 @@
         cumulative = np.cumsum(part)
         picks = np.searchsorted(cumulative, rng.random(last - first) * cumulative[-1])
         keys[first:last] = np.minimum(picks, KEYS - 1)
-    mean_log = np.log(SERVICE_SECONDS) - SERVICE_SIGMA**2 / 2
+    mean_log = np.log(service_seconds) - SERVICE_SIGMA**2 / 2
     return Workload(
         times=times.tolist(),
         keys=keys.tolist(),
--- a/radishshunt/policy/capacity.py
+++ b/radishshunt/policy/capacity.py
@@ -20,15 +20,17 @@
     drain: Drain,
     takes_work: bool,
     now: float,
+    straggler_share: float = STRAGGLER_SHARE,
 ) -> float:
     """Return the share of a warm target's capacity that placement may use, from 0 to 1.
 
     :param takes_work: Whether the target is listed and alive and its domain is in.
     :param now: Seconds since the Unix epoch.
+    :param straggler_share: Share of a straggler's capacity that is used.
     """
     cold = state.cold(now)
     bound = state.bound(now) if cold else state.slots
     share = drain.capacity(takes_work=takes_work, bound=bound, slots=state.slots, cold=cold)
     if share > 0 and stragglers.slowness(name, state.stuck_seconds(now)) > 1.0:
-        return min(share, STRAGGLER_SHARE)
+        return min(share, straggler_share)
     return share
