Test spreading and membership with simulated hosts and real connections

Cause: nothing checked that a note reaches every host in time under partitions, pauses, outages and losses of hosts, or that a faulty or silent peer is cut. Change: tests run the real classes over an in-memory network with the real codec on trio's test clock; connections are tested over loopback sockets against garbage and a relay that goes silent.

--- /dev/null
+++ b/tests/test_membership/test_membership_connections.py
@@ -0,0 +1,202 @@
+"""Connections to peers that send garbage or fall silent, over real sockets."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import os
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+import radishshunt.peers
+from radishshunt.errors import PeerUnavailable
+from radishshunt.model import HostInfo
+from radishshunt.peers import PeerNetwork
+from radishshunt.wire.codec import encode
+from radishshunt.wire.messages import PROTOCOL_VERSION, Acknowledge, Fetch, Hello
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from radishshunt.wire.connection import PeerConnection, Stream
+    from radishshunt.wire.messages import Message
+
+NET = int(os.environ.get("RADISHSHUNT_TEST_NET", "60")) + 1
+
+
+def info(number: int) -> HostInfo:
+    """Return a host with an address of its own."""
+    return HostInfo(f"host-{number}", "akl-a", f"127.{NET}.7.{number}:8082", number)
+
+
+async def answer(_conn: PeerConnection, stream: Stream, _msg: Message) -> None:
+    """Answer a message."""
+    await stream.send(Acknowledge(True))
+
+
+@asynccontextmanager
+async def running(*numbers: int) -> AsyncIterator[list[PeerNetwork]]:
+    """Run networks that know each other and answer fetches."""
+    networks = [PeerNetwork(info(number)) for number in numbers]
+    async with trio.open_nursery() as nursery:
+        for network in networks:
+            network.register(Fetch, answer)
+            network.update_hosts([info(number) for number in numbers])
+            await nursery.start(network.run)
+        yield networks
+        nursery.cancel_scope.cancel()
+
+
+async def wait_for_record(caplog: pytest.LogCaptureFixture, text: str) -> None:
+    """Wait until a line is logged."""
+    with trio.fail_after(5.0):
+        while not any(text in record.message for record in caplog.records):
+            await trio.sleep(0.01)
+
+
+HELLO = encode(0, Hello(PROTOCOL_VERSION, "host-9", 9, "akl-a"))
+GARBAGE = {
+    "no frame": b"\xff" * 100,
+    "too large": (1 << 30).to_bytes(4, "big"),
+    "no capnp": (16).to_bytes(4, "big") + b"\x07" * 16,
+    "garbage after the hello": HELLO + (24).to_bytes(4, "big") + b"\xf0" * 24,
+    "no hello": encode(1, Fetch("catalog")),
+    "other protocol": encode(0, Hello(99, "host-9", 9, "akl-a")),
+}
+
+
+@pytest.mark.parametrize("kind", GARBAGE)
+async def test_peer_that_sends_garbage_is_cut_and_logged(
+    kind: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against a faulty peer that takes the host down, or stays connected."""
+    async with running(1, 2) as (first, second):
+        with caplog.at_level(logging.INFO):
+            sock = await trio.open_tcp_stream(f"127.{NET}.7.1", 8082)
+            await sock.send_all(GARBAGE[kind])
+            with trio.fail_after(5.0):
+                while await sock.receive_some():
+                    pass
+            await wait_for_record(caplog, "cut the connection")
+        assert await second.call(first.me.host, Fetch("x"), 1.0) == Acknowledge(True)
+
+
+async def test_silent_connection_is_replaced_and_its_streams_end(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against requests that wait on a connection that never answers again."""
+    async with running(1, 2) as (first, second), trio.open_nursery() as nursery:
+        # A relay whose first connection goes silent while new ones work.
+        relay = await nursery.start(_relay, f"127.{NET}.7.3", second.me.address)
+        first.forget(second.me.host)
+        first.update_hosts([HostInfo("host-2", "akl-a", f"127.{NET}.7.3:8082", 2)])
+        assert await first.call("host-2", Fetch("x"), 1.0) == Acknowledge(True)
+        old = await first.connection("host-2")
+        relay["silent"] = 1
+        stream = await old.open_stream(Fetch("y"))
+        with caplog.at_level(logging.INFO):
+            with pytest.raises(PeerUnavailable):
+                await first.call("host-2", Fetch("x"), 0.2)
+            assert await first.call("host-2", Fetch("x"), 1.0) == Acknowledge(True)
+            await wait_for_record(caplog, "host-2 is silent and is replaced")
+        assert await first.connection("host-2") is not old
+        with trio.fail_after(3.0), pytest.raises(PeerUnavailable):
+            await stream.receive()
+        assert old.closed
+        nursery.cancel_scope.cancel()
+
+
+async def test_slow_answer_does_not_close_a_connection_that_works() -> None:
+    """Guards against cutting all requests to a host because one answer is late."""
+    async with running(1, 2) as (first, second):
+
+        async def answer_late(_conn: PeerConnection, stream: Stream, msg: Message) -> None:
+            if msg.name == "slow":
+                await trio.sleep(0.6)
+            await stream.send(Acknowledge(True))
+
+        second.register(Fetch, answer_late)
+        conn = await first.connection("host-2")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_call_often, first)
+            with pytest.raises(PeerUnavailable):
+                await first.call("host-2", Fetch("slow"), 0.3)
+        assert await first.connection("host-2") is conn
+        assert not conn.closed
+
+
+async def test_idle_connection_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against connections that pile up, also those whose dialler is gone."""
+    monkeypatch.setattr(radishshunt.peers, "IDLE_SECONDS", 0.3)
+    monkeypatch.setattr(radishshunt.peers, "PEER_IDLE_SECONDS", 0.6)
+    async with running(1, 2) as (first, _second):
+        conn = await first.connection("host-2")
+        sock = await trio.open_tcp_stream(f"127.{NET}.7.1", 8082)
+        await sock.send_all(HELLO)
+        with trio.fail_after(5.0):
+            while await sock.receive_some():
+                pass
+            while not conn.closed:
+                await trio.sleep(0.01)
+        assert await first.call("host-2", Fetch("x"), 1.0) == Acknowledge(True)
+
+
+async def test_moved_host_is_dialled_at_its_new_address() -> None:
+    """Guards against calls to the former address of a replaced host."""
+    async with running(1, 2, 4) as (first, _second, _third):
+        old = await first.connection("host-2")
+        first.update_hosts([HostInfo("host-2", "akl-a", info(4).address, 5)])
+        assert old.closed
+        with pytest.raises(PeerUnavailable, match="is not host host-2"):
+            await first.call("host-2", Fetch("x"), 1.0)
+
+
+async def test_seed_gives_its_name() -> None:
+    """Guards against a host that knows seeds' addresses only and can't talk to them."""
+    async with running(1, 2) as (first, second):
+        first.forget("host-2")
+        found = await first.learn(second.me.address)
+        assert (found.host, found.incarnation) == ("host-2", 2)
+        assert await first.call("host-2", Fetch("x"), 1.0) == Acknowledge(True)
+        with pytest.raises(PeerUnavailable):
+            await first.learn(f"127.{NET}.7.9:8082")
+
+
+async def _call_often(network: PeerNetwork) -> None:
+    for _ in range(8):
+        await network.call("host-2", Fetch("quick"), 1.0)
+        await trio.sleep(0.05)
+
+
+async def _relay(
+    ip: str, to: str, task_status: trio.TaskStatus[dict] = trio.TASK_STATUS_IGNORED
+) -> None:
+    """Relay connections; while ``silent`` is 1, drop what the existing ones carry."""
+    state = {"silent": 0, "count": 0}
+
+    async def pump(source: trio.SocketStream, sink: trio.SocketStream, number: int) -> None:
+        async for data in source:
+            if not (state["silent"] and number == 1):
+                await sink.send_all(data)
+
+    async def handle(sock: trio.SocketStream) -> None:
+        state["count"] += 1
+        number = state["count"]
+        host, _, port = to.rpartition(":")
+        other = await trio.open_tcp_stream(host, int(port))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_ignoring, pump, sock, other, number)
+            nursery.start_soon(_ignoring, pump, other, sock, number)
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(8082, host=ip)
+        task_status.started(state)
+        await trio.serve_listeners(handle, listeners, handler_nursery=nursery)
+
+
+async def _ignoring(pump, *args) -> None:
+    with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+        await pump(*args)
--- /dev/null
+++ b/tests/test_membership/test_membership_liveness.py
@@ -0,0 +1,265 @@
+"""Loss, confirmation of loss, departure and return of hosts, in simulated time."""
+
+from __future__ import annotations
+
+import logging
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+import trio.testing
+
+from radishshunt.clock import TrioClock
+from radishshunt.contact import ISOLATION_SECONDS
+from radishshunt.emulator.simulation import Simulation, pair
+from radishshunt.release.catalog import Catalog
+from radishshunt.wire.messages import Fetch, Member
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+A, B, C, D = (f"host-{i:05d}" for i in range(4))
+
+
+@asynccontextmanager
+async def running(hosts: int, domains: int = 3) -> AsyncIterator[Simulation]:
+    """Run hosts that know each other."""
+    sim = Simulation(hosts, domains, TrioClock())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(sim.run)
+        await trio.sleep(8.0)
+        yield sim
+        nursery.cancel_scope.cancel()
+
+
+def live(sim: Simulation, host: str) -> set[str]:
+    """Return the hosts that a host counts as live."""
+    return {info.host for info in sim.hosts[host].membership.live_hosts()}
+
+
+async def test_lost_host_is_noticed_in_time(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a takeover that starts too late for 2 s without service."""
+    async with running(5) as sim:
+        assert live(sim, A) == set(sim.hosts)
+        sim.kill(D)
+        await trio.sleep(0.9)
+        assert D not in live(sim, A)
+        with trio.fail_after(0.6):
+            assert await sim.hosts[A].membership.confirmed_lost(D)
+
+
+async def test_one_broken_path_is_no_loss(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a takeover from a dispatcher that the other hosts reach."""
+    async with running(5) as sim:
+        sim.fabric.cut.add(pair(A, D))
+        await trio.sleep(2.0)
+        assert not sim.hosts[A].membership.is_live(D)
+        assert not await sim.hosts[A].membership.confirmed_lost(D)
+
+
+async def test_two_hosts_with_contact_prevent_a_confirmation(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a takeover while two hosts see the dispatcher and two others do not."""
+    async with running(7) as sim:
+        sim.fabric.cut |= {pair(h, D) for h in (A, B, C)}
+        await trio.sleep(2.0)
+        assert not await sim.hosts[A].membership.confirmed_lost(D)
+
+
+async def test_isolated_host_confirms_no_loss(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a host that is cut off and takes over the groups of all others."""
+    async with running(5) as sim:
+        sim.fabric.isolate(A)
+        await trio.sleep(4.0)
+        for host in (B, C, D):
+            assert not await sim.hosts[A].membership.confirmed_lost(host)
+
+
+async def test_last_of_three_hosts_confirms_after_an_earlier_loss(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a survivor that waits forever for the report of a host lost before."""
+    async with running(3) as sim:
+        sim.kill(B)
+        await trio.sleep(6.0)
+        sim.kill(C)
+        await trio.sleep(1.0)
+        assert await sim.hosts[A].membership.confirmed_lost(C)
+
+
+async def test_two_hosts_need_no_third(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against two hosts of which one never takes over, since nobody can confirm."""
+    async with running(2) as sim:
+        sim.kill(B)
+        await trio.sleep(1.0)
+        assert await sim.hosts[A].membership.confirmed_lost(B)
+
+
+async def test_every_host_hears_of_a_loss_and_of_a_return_in_a_large_system(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against plans that name a lost host because it is nobody's direct peer."""
+    async with running(60, 6) as sim:
+        assert all(live(sim, host) == set(sim.hosts) for host in sim.hosts)
+        assert max(len(h.members.peers) for h in sim.hosts.values()) <= 8
+        sim.fabric.isolate(D)
+        await trio.sleep(10.0)
+        others = [h for h in sim.hosts if h != D]
+        assert all(D not in live(sim, host) for host in others)
+        assert all(len(live(sim, host)) == 59 for host in others)
+        sim.fabric.rejoin(D)
+        await trio.sleep(12.0)
+        assert all(D in live(sim, host) for host in sim.hosts)
+        assert live(sim, D) == set(sim.hosts)
+
+
+async def test_pair_of_a_group_notices_a_loss_quickly_in_a_large_system(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a slow takeover where most heartbeats are a second apart."""
+    async with running(60, 6) as sim:
+        name = next(h for h in sim.hosts if h != A and h not in sim.hosts[A].members.peers)
+        sim.hosts[A].pairs.add(name)
+        sim.hosts[name].pairs.add(A)
+        await trio.sleep(2.0)
+        sim.kill(name)
+        await trio.sleep(0.9)
+        assert not sim.hosts[A].membership.is_live(name)
+        with trio.fail_after(0.6):
+            assert await sim.hosts[A].membership.confirmed_lost(name)
+
+
+@pytest.mark.parametrize("hosts", [5, 40])
+async def test_host_that_left_the_list_is_forgotten(
+    hosts: int, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against plans and heartbeats for a host that the platform has removed."""
+    async with running(hosts) as sim:
+        del sim.host_list.entries[D]
+        # The process may go on for a while; its heartbeats do not bring it back.
+        await trio.sleep(25.0)
+        for name in sim.hosts:
+            if name != D:
+                assert D not in sim.hosts[name].network.hosts
+                assert D not in live(sim, name)
+        sim.kill(D)
+        new = sim.add(D, "domain-00", incarnation=77)
+        sim.nursery = None  # type: ignore[attr-defined]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(new.run)
+            await trio.sleep(25.0)
+            assert all(D in live(sim, name) for name in sim.hosts)
+            nursery.cancel_scope.cancel()
+
+
+async def test_leaving_host_is_known_to_all(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against new groups for a host that is about to stop."""
+    async with running(40) as sim:
+        sim.hosts[D].members.declare(leaving=True)
+        await trio.sleep(6.0)
+        for host in sim.hosts.values():
+            assert [h.host for h in host.membership.live_hosts() if h.leaving] in ([D], [])
+            known = host.members.get(D)
+            assert known is not None
+            assert known.state == 2
+
+
+async def test_news_from_the_future_is_ignored(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a faulty peer whose news about a host nothing can replace."""
+    async with running(3) as sim:
+        members = sim.hosts[A].members
+        for at in (float("nan"), float("inf"), 1e300, -1.0):
+            members.merge([Member(B, 2, "domain-01", "10.0.0.1:1", 3, at)], C)
+        assert members.get(B).state == 1
+
+
+async def test_clock_difference_is_logged(
+    autojump_clock: trio.testing.MockClock, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against clocks that differ by more than grants allow for, unnoticed."""
+    async with running(3) as sim:
+        with caplog.at_level(logging.WARNING, "radishshunt.membership"):
+            await trio.sleep(2.0)
+            assert not caplog.records
+            sim.hosts[C].clock = TrioClock(1_000_000.0 + 0.25)
+            await trio.sleep(2.0)
+        assert {r.message for r in caplog.records} == {
+            f"clock of host {C} differs by 0.250 s, more than 0.1 s"
+        }
+        assert len(caplog.records) <= 2  # once on each other host
+        assert sim.hosts[A].membership.clock_differences()[C] == pytest.approx(0.25, abs=0.01)
+
+
+async def test_heartbeat_that_waited_in_a_buffer_is_no_contact(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a resumed host that takes a question from before its pause for contact."""
+    sim = Simulation(2, 1, TrioClock())
+    host, peer = sim.hosts[A], sim.hosts[B]
+    host.members.take_host_list([peer.me])
+    now = host.clock.now()
+    for age, allowed in ((0.0, True), (ISOLATION_SECONDS + 0.5, False)):
+        host.contact._at = float("-inf")
+        beat = peer.describe()
+        beat.sent_at = now - age
+        received = await sim.fabric.transmit(B, A, beat)
+        await sim.hosts[A].network._handle(_Conn(), _Stream(), received)
+        assert host.contact.may_send_new_work(host.clock.now()) is allowed
+
+
+async def test_answer_to_a_question_from_before_a_pause_is_no_contact(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a host that is paused between its question and the answer."""
+    sim = Simulation(2, 1, TrioClock())
+    host, peer = sim.hosts[A], sim.hosts[B]
+    host.members.take_host_list([peer.me])
+
+    async def answer_late(*_args: object) -> object:
+        await trio.sleep(ISOLATION_SECONDS + 0.5)
+        return peer.describe()
+
+    monkeypatch.setattr(host.network, "call", answer_late)
+    assert await host.membership._call(B)
+    assert not host.contact.may_send_new_work(host.clock.now())
+
+
+async def test_clock_set_back_is_no_contact(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a contact that seems to last because the wall clock was set back."""
+    sim = Simulation(2, 1, TrioClock())
+    host = sim.hosts[A]
+    host.members.take_host_list([sim.hosts[B].me])
+    host.contact.note(host.clock.now(), 0)
+    assert host.contact.may_send_new_work(host.clock.now())
+    assert not host.contact.may_send_new_work(host.clock.now() - 60.0)
+
+
+async def test_older_catalog_does_not_replace_a_newer_one(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against an accepted note that is undone by a late answer."""
+    sim = Simulation(1, 1, TrioClock())
+    host = sim.hosts[A]
+    host.sync.take_catalog(Catalog(version=3, digest="c"), "test")
+    host.sync.take_catalog(Catalog(version=2, digest="b"), "test")
+    host.sync.take_catalog(Catalog(version=3, digest="x"), "test")
+    assert (host.version, host.directory.catalog.digest) == (3, "c")
+
+
+async def test_unknown_documents_have_version_0(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a handler that fails on a name that a newer or faulty peer asks for."""
+    async with running(2) as sim:
+        for name in ("", "rows/", "row/x", "row/a/b", "notes/", "notes/99", "catalog/x", "x/y/z"):
+            answer = await sim.hosts[A].network.call(B, Fetch(name), 1.0)
+            assert answer.version in (0, 1)
+
+
+class _Conn:
+    peer_name = B
+
+
+class _Stream:
+    async def send(self, _msg: object) -> None:
+        pass
