Bound a host's calls to the platform during outages and join its reads

Cause: every task of a host called a platform that was down at its own interval, each row needed a call of its own, the host list was sent whole each time, and an error page of a proxy in place of a commit's answer raised an exception that no caller handled. The emulator adds jitter, random failures, lost requests and answers, hanging calls and counts of calls.

--- a/radishshunt/emulator/platform.py
+++ b/radishshunt/emulator/platform.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import base64
-from collections import deque
+import json
+from collections import Counter, deque
 from dataclasses import asdict, dataclass
+from random import Random
 from typing import TYPE_CHECKING
 
 import trio
 from quart import Response, jsonify, request
 from quart_trio import QuartTrio
+from xxhash import xxh3_64_hexdigest
 
 from radishshunt.errors import Conflict
 from radishshunt.model import HostInfo
@@ -31,11 +34,21 @@
     :param down: Refuse every call with status 503.
     :param delay_seconds: Time added to every call.
     :param lose_answers: Answer that many commits with status 504 after they took effect.
+    :param lose_requests: Answer that many commits with status 504 without any effect.
+    :param jitter_seconds: Largest random time added to every call.
+    :param failing: Share of calls that are refused with status 503.
+    :param losing: Share of writes that are answered with status 504 after they took effect.
+    :param hanging: Accept calls and don't answer them.
     """
 
     down: bool = False
     delay_seconds: float = 0.0
     lose_answers: int = 0
+    lose_requests: int = 0
+    jitter_seconds: float = 0.0
+    failing: float = 0.0
+    losing: float = 0.0
+    hanging: bool = False
 
 
 class RateLimit:
@@ -58,17 +71,31 @@
 
 
 class PlatformEmulator:
-    """Serves the platform's interface from memory."""
+    """Serves the platform's interface from memory.
 
-    def __init__(self, clock: Clock) -> None:
+    :param rng: Decides which calls fail.
+    :ivar attempts: Calls that arrived, answered or not.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        rng: Random | None = None,
+        reads_per_second: int = READS_PER_SECOND,
+        writes_per_second: int = WRITES_PER_SECOND,
+    ) -> None:
         self.table = MemoryTable()
         self.objects = MemoryObjectStore()
         self.host_list = MemoryHostList()
         self.faults = Faults()
         self.reads = 0
         self.writes = 0
-        self._read_limit = RateLimit(READS_PER_SECOND, clock)
-        self._write_limit = RateLimit(WRITES_PER_SECOND, clock)
+        self.attempts = 0
+        self.refused = 0
+        self.paths: Counter[str] = Counter()
+        self._rng = rng or Random(0)
+        self._read_limit = RateLimit(reads_per_second, clock)
+        self._write_limit = RateLimit(writes_per_second, clock)
         self.app = self._build_app()
 
     def _build_app(self) -> QuartTrio:
@@ -89,15 +116,23 @@
     async def _before(self) -> Response | None:
         if request.path.startswith("/emulator/"):
             return None
-        if self.faults.delay_seconds:
-            await trio.sleep(self.faults.delay_seconds)
-        if self.faults.down:
+        self.attempts += 1
+        faults = self.faults
+        if faults.hanging:
+            await trio.sleep_forever()
+        delay = faults.delay_seconds + self._rng.uniform(0.0, faults.jitter_seconds)
+        if delay:
+            await trio.sleep(delay)
+        if self.faults.down or self._rng.random() < faults.failing:
+            self.refused += 1
             return Response("the platform is down", status=503)
         write = request.path == "/table/commit" or request.method == "PUT"
         if not (self._write_limit if write else self._read_limit).allow():
-            return Response("too many calls", status=429)
+            self.refused += 1
+            return Response("too many calls", status=429, headers={"Retry-After": "1"})
         self.writes += write
         self.reads += not write
+        self.paths["/".join(request.path.split("/")[:3])] += 1
         return None
 
     async def _read(self) -> Response:
@@ -114,11 +149,16 @@
             key: None if value is None else base64.b64decode(value)
             for key, value in doc["writes"].items()
         }
+        if self.faults.lose_requests > 0:
+            self.faults.lose_requests -= 1
+            return Response("the request is lost", status=504)
         tx = Transaction(doc["checks"], writes, doc["transaction_id"])
         result = await self.table.commit(tx)
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             return Response("the answer is lost", status=504)
+        if self._rng.random() < self.faults.losing:
+            return Response("the answer is lost", status=504)
         return _result(result)
 
     async def _outcome(self, transaction_id: str) -> Response:
@@ -134,10 +174,17 @@
             await self.objects.put(name, await request.get_data())
         except Conflict as exc:
             return Response(str(exc), status=409)
+        if self._rng.random() < self.faults.losing:
+            return Response("the answer is lost", status=504)
         return Response(b"", status=204)
 
     async def _hosts(self) -> Response:
-        return jsonify({"hosts": [asdict(info) for info in await self.host_list.hosts()]})
+        hosts = json.dumps([asdict(info) for info in await self.host_list.hosts()])
+        etag = f'"{xxh3_64_hexdigest(hosts.encode())}"'
+        if request.headers.get("If-None-Match") == etag:
+            return Response(b"", status=304, headers={"ETag": etag})
+        content = f'{{"hosts": {hosts}}}'
+        return Response(content, content_type="application/json", headers={"ETag": etag})
 
     async def _set_faults(self) -> Response:
         self.faults = Faults(**await request.get_json())
@@ -149,7 +196,9 @@
         return Response(b"", status=204)
 
     async def _counts(self) -> Response:
-        return jsonify({"reads": self.reads, "writes": self.writes})
+        counts = {"reads": self.reads, "writes": self.writes}
+        counts |= {"attempts": self.attempts, "refused": self.refused}
+        return jsonify(counts | {"paths": self.paths})
 
 
 def _rows(rows: dict[str, TableRow]) -> Response:
--- a/radishshunt/members.py
+++ b/radishshunt/members.py
@@ -26,8 +26,8 @@
 NEWS_PER_HEARTBEAT = 32
 # Forgotten hosts are remembered this long, so that old news does not bring them back.
 GONE_RETENTION_SECONDS = 600.0
-# More news than this at once is a whole view of the hosts, taken from a peer or from the platform.
-# It is not passed on as news; peers with another view notice by its digest and fetch it.
+# More news than this is as much as a whole view of the hosts, which is compressed and fetched once
+# instead of arriving from every peer. It is not passed on; peers notice by the digest of the view.
 MAX_NEWS_AT_ONCE = 256
 
 
@@ -126,8 +126,11 @@
         self._take([member], info.host)
         return True
 
-    def merge(self, news: Iterable[Member], source: str) -> None:
-        """Take news that a peer passed on."""
+    def merge(self, news: Iterable[Member], source: str) -> bool:
+        """Take news that a peer passed on.
+
+        :return: Whether any of it was newer than what was known.
+        """
         fresh = []
         latest = self._clock.now() + LARGEST_LEAD_SECONDS
         for member in news:
@@ -139,6 +142,7 @@
             else:
                 fresh.append(member)
         self._take(fresh, source)
+        return bool(fresh)
 
     def take_host_list(self, hosts: list[HostInfo]) -> None:
         """Take the platform's list, as read by this host."""
@@ -206,7 +210,10 @@
         for member in news:
             for peer in self.peers:
                 if peer != source:
-                    self._news.setdefault(peer, {})[member.host] = member
+                    waiting = self._news.setdefault(peer, {})
+                    waiting[member.host] = member
+                    if len(waiting) > MAX_NEWS_AT_ONCE:
+                        waiting.clear()
 
     def _accept(self, member: Member) -> bool:
         """Remember news.
--- a/radishshunt/platform/http.py
+++ b/radishshunt/platform/http.py
@@ -20,52 +20,87 @@
     TableRow,
     Transaction,
 )
+from radishshunt.platform.batching import BatchedReads
+from radishshunt.platform.breaker import CircuitBreaker
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
+    from random import Random
 
 CALL_TIMEOUT_SECONDS = 2.0
 
 
-def connect(url: str) -> Platform:
+def connect(
+    url: str, transport: httpx.AsyncBaseTransport | None = None, rng: Random | None = None
+) -> Platform:
     """Return the services of the platform at a URL.
 
     :param url: Base URL, for example ``http://10.0.0.2:7000``.
+    :param transport: Carries the calls instead of TCP, for tests.
+    :param rng: Source of the jitter of pauses after failures.
     """
-    client = httpx.AsyncClient(base_url=url, timeout=CALL_TIMEOUT_SECONDS, trust_env=False)
-    return Platform(HttpTable(client), HttpObjectStore(client), HttpHostList(client))
+    client = httpx.AsyncClient(
+        base_url=url, timeout=CALL_TIMEOUT_SECONDS, trust_env=False, transport=transport
+    )
+    caller = _Caller(client, CircuitBreaker(rng))
+    return Platform(HttpTable(caller), HttpObjectStore(caller), HttpHostList(caller))
 
 
-async def _call(
-    client: httpx.AsyncClient, method: str, path: str, **options: Any
-) -> httpx.Response:
-    """Make a call that may be repeated.
+class _Caller:
+    """Makes calls through the circuit breaker that all services share."""
 
-    :raises PlatformUnavailable: If there is no answer, or one of status 429 or 5xx.
-    """
-    try:
-        resp = await client.request(method, path, **options)
-    except httpx.HTTPError as exc:
-        raise PlatformUnavailable(f"{method} {path}: {type(exc).__name__} {exc}") from exc
-    if resp.status_code == 429 or resp.status_code >= 500:
-        raise PlatformUnavailable(f"{method} {path}: status {resp.status_code}")
-    return resp
+    def __init__(self, client: httpx.AsyncClient, breaker: CircuitBreaker) -> None:
+        self._client = client
+        self._breaker = breaker
+
+    async def call(self, method: str, path: str, **options: Any) -> httpx.Response:
+        """Make a call that may be repeated.
+
+        :raises PlatformUnavailable: If there is no answer, or one of status 429 or 5xx.
+        """
+        try:
+            return await self.call_once(method, path, **options)
+        except OutcomeUnknown as exc:
+            raise PlatformUnavailable(str(exc)) from exc
+
+    async def call_once(self, method: str, path: str, **options: Any) -> httpx.Response:
+        """Make a call whose effect matters.
+
+        :raises PlatformUnavailable: If it had no effect.
+        :raises OutcomeUnknown: If it may have had one.
+        """
+        with self._breaker.call():
+            try:
+                resp = await self._client.request(method, path, **options)
+            except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
+                self._breaker.failed()
+                raise PlatformUnavailable(f"{method} {path}: {type(exc).__name__} {exc}") from exc
+            except httpx.HTTPError as exc:
+                self._breaker.failed()
+                raise OutcomeUnknown(f"{method} {path}: {type(exc).__name__} {exc}") from exc
+            if resp.status_code in (429, 503):
+                self._breaker.failed(_retry_after(resp))
+                raise PlatformUnavailable(f"{method} {path}: status {resp.status_code}")
+            if resp.status_code >= 500:
+                self._breaker.failed()
+                raise OutcomeUnknown(f"{method} {path}: status {resp.status_code}")
+            self._breaker.succeeded()
+            return resp
 
 
 class HttpTable(Table):
     """Table behind the platform's HTTP interface."""
 
-    def __init__(self, client: httpx.AsyncClient) -> None:
-        self._client = client
+    def __init__(self, caller: _Caller) -> None:
+        self._caller = caller
+        self._reads = BatchedReads(self._read)
 
     async def read(self, keys: Sequence[str]) -> dict[str, TableRow]:
-        resp = await _call(self._client, "POST", "/table/read", json={"keys": list(keys)})
-        found = _rows(resp.json())
-        return {key: found.get(key, ABSENT) for key in keys}
+        return await self._reads.read(keys)
 
     async def scan(self, prefix: str) -> dict[str, TableRow]:
-        resp = await _call(self._client, "POST", "/table/scan", json={"prefix": prefix})
-        return _rows(resp.json())
+        resp = await self._caller.call("POST", "/table/scan", json={"prefix": prefix})
+        return _rows(resp)
 
     async def commit(self, tx: Transaction) -> CommitResult:
         doc = {
@@ -75,59 +110,96 @@
                 k: None if v is None else base64.b64encode(v).decode() for k, v in tx.writes.items()
             },
         }
+        resp = await self._caller.call_once("POST", "/table/commit", json=doc)
         try:
-            resp = await self._client.post("/table/commit", json=doc)
-        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
-            raise PlatformUnavailable(f"commit: {exc}") from exc
-        except httpx.HTTPError as exc:
-            raise OutcomeUnknown(f"commit: {type(exc).__name__} {exc}") from exc
-        if resp.status_code in (429, 503):
-            raise PlatformUnavailable(f"commit: status {resp.status_code}")
-        if resp.status_code >= 500:
-            raise OutcomeUnknown(f"commit: status {resp.status_code}")
-        return _commit_result(resp.json())
+            return _commit_result(resp)
+        except ProtocolError as exc:
+            # Something answered, but it does not say how the transaction ended.
+            raise OutcomeUnknown(f"commit: {exc}") from exc
 
     async def outcome(self, transaction_id: str) -> CommitResult | None:
-        resp = await _call(self._client, "GET", f"/table/outcome/{transaction_id}")
-        return None if resp.status_code == 404 else _commit_result(resp.json())
+        resp = await self._caller.call("GET", f"/table/outcome/{transaction_id}")
+        return None if resp.status_code == 404 else _commit_result(resp)
+
+    async def _read(self, keys: Sequence[str]) -> dict[str, TableRow]:
+        resp = await self._caller.call("POST", "/table/read", json={"keys": list(keys)})
+        found = _rows(resp)
+        return {key: found.get(key, ABSENT) for key in keys}
 
 
 class HttpObjectStore(ObjectStore):
     """Object store behind the platform's HTTP interface."""
 
-    def __init__(self, client: httpx.AsyncClient) -> None:
-        self._client = client
+    def __init__(self, caller: _Caller) -> None:
+        self._caller = caller
 
     async def put(self, name: str, content: bytes) -> None:
-        resp = await _call(self._client, "PUT", f"/objects/{name}", content=content)
+        resp = await self._caller.call("PUT", f"/objects/{name}", content=content)
         if resp.status_code == 409:
             raise Conflict(f"object {name} exists with other content")
+        if not resp.is_success:
+            raise PlatformUnavailable(f"PUT object {name}: status {resp.status_code}")
 
     async def get(self, name: str) -> bytes | None:
-        resp = await _call(self._client, "GET", f"/objects/{name}")
-        return None if resp.status_code == 404 else resp.content
+        resp = await self._caller.call("GET", f"/objects/{name}")
+        if resp.status_code == 404:
+            return None
+        if not resp.is_success:
+            raise PlatformUnavailable(f"GET object {name}: status {resp.status_code}")
+        return resp.content
 
 
 class HttpHostList(HostList):
     """Host list behind the platform's HTTP interface."""
 
-    def __init__(self, client: httpx.AsyncClient) -> None:
-        self._client = client
+    def __init__(self, caller: _Caller) -> None:
+        self._caller = caller
+        self._etag = ""
+        self._hosts: list[HostInfo] = []
 
     async def hosts(self) -> list[HostInfo]:
-        resp = await _call(self._client, "GET", "/hosts")
-        return [HostInfo(**item) for item in resp.json()["hosts"]]
+        headers = {"If-None-Match": self._etag} if self._etag else {}
+        resp = await self._caller.call("GET", "/hosts", headers=headers)
+        if resp.status_code != 304:
+            try:
+                self._hosts = [HostInfo(**item) for item in _document(resp)["hosts"]]
+            except (KeyError, TypeError) as exc:
+                raise ProtocolError(f"platform's host list is malformed: {exc!r}") from exc
+            self._etag = resp.headers.get("ETag", "")
+        return list(self._hosts)
+
+
+def _retry_after(resp: httpx.Response) -> float | None:
+    try:
+        return max(0.0, float(resp.headers["Retry-After"]))
+    except (KeyError, ValueError):
+        return None
 
 
-def _rows(doc: dict[str, Any]) -> dict[str, TableRow]:
-    return {
-        key: TableRow(item["version"], base64.b64decode(item["value"]))
-        for key, item in doc["rows"].items()
-    }
+def _document(resp: httpx.Response) -> dict[str, Any]:
+    try:
+        doc = resp.json()
+    except ValueError as exc:
+        raise ProtocolError(f"platform answered status {resp.status_code} without JSON") from exc
+    if not resp.is_success or not isinstance(doc, dict):
+        raise ProtocolError(f"platform answered status {resp.status_code}: {str(doc)[:200]}")
+    return doc
+
+
+def _rows(resp: httpx.Response) -> dict[str, TableRow]:
+    doc = _document(resp)
+    try:
+        return {
+            key: TableRow(item["version"], base64.b64decode(item["value"]))
+            for key, item in doc["rows"].items()
+        }
+    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+        raise ProtocolError(f"platform's rows are malformed: {exc!r}") from exc
 
 
-def _commit_result(doc: dict[str, Any]) -> CommitResult:
+def _commit_result(resp: httpx.Response) -> CommitResult:
+    doc = _document(resp)
     try:
         return CommitResult(CommitStatus(doc["status"]), doc.get("versions", {}))
     except (KeyError, ValueError) as exc:
-        raise ProtocolError(f"platform answered {doc!r}") from exc
+        raise ProtocolError(f"platform answered {str(doc)[:200]}") from exc
--- a/radishshunt/sync.py
+++ b/radishshunt/sync.py
@@ -225,7 +225,8 @@
                     await self._fetch_index(host)
                 elif what == MEMBERS:
                     content, _ = await self._fetch_parts(host, MEMBERS)
-                    self.members.merge(read_members(content), host)
+                    if self.members.merge(read_members(content), host):
+                        self._patience.pop((host, MEMBERS), None)
                 else:
                     await self._fetch_rows(host)
             except PeerUnavailable as exc:
