--- a/radishshunt/cmd/emulate.py
+++ b/radishshunt/cmd/emulate.py
@@ -32,11 +32,13 @@
     address: Address,
     slots: Annotated[int, typer.Option(min=1, help="Requests run at once.")] = 3,
     checks_fences: Annotated[bool, typer.Option(help="Refuse requests without a grant.")] = True,
+    service_seconds: Annotated[float, typer.Option(min=0, help="Time to run a request.")] = 0.002,
     journal: Annotated[Path | None, typer.Option(help="File for a line per execution.")] = None,
 ) -> None:
     """Run a stand-in target until ^C."""
     file = journal.open("ab", buffering=0) if journal else None
     emulator = TargetEmulator(name, slots, SystemClock(), checks_fences=checks_fences, journal=file)
+    emulator.behaviour.service_seconds = service_seconds
     trio.run(partial(serve_emulator, emulator.app, address))
 
 
--- a/radishshunt/cmd/serve.py
+++ b/radishshunt/cmd/serve.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import cProfile
 import signal
 from pathlib import Path
 from typing import Annotated
@@ -19,11 +20,19 @@
     log_format: Annotated[LogFormat, typer.Option(help="How log lines are written.")] = (
         LogFormat.JSON
     ),
+    profile: Annotated[
+        Path | None, typer.Option(hidden=True, help="Write a profile here at the end.")
+    ] = None,
 ) -> None:
     """Run an entry host until TERM or ^C; a second one ends it at once."""
     cfg = load_settings(settings.read_text("utf-8"), str(settings))
     configure(log_format, cfg.host.name)
-    trio.run(_run, Host(cfg))
+    if profile is None:
+        trio.run(_run, Host(cfg))
+        return
+    profiler = cProfile.Profile()
+    profiler.runcall(trio.run, _run, Host(cfg))
+    profiler.dump_stats(profile)
 
 
 async def _run(host: Host) -> None:
