Fail early when a part of a scenario ends by itself

Cause: a scenario failed once with dropped connections while another checkout ran on its addresses. Ruled out: with addresses of its own the scenario passed 4 times of 4. Change: the harness reports the part that ended, with its log.

--- a/tests/support/system.py
+++ b/tests/support/system.py
@@ -242,9 +242,17 @@
         while time.monotonic() < started_at + seconds:
             if condition():
                 return time.monotonic() - started_at
+            self._check_running()
             time.sleep(POLL_SECONDS)
         raise AssertionError(f"{what}: not within {seconds} s\n{self.logs()}")
 
+    def _check_running(self) -> None:
+        """Fail early if a part ended by itself, for example because its address is in use."""
+        for name, process in self.processes.items():
+            if process.poll() is not None:
+                log = (self.directory / f"{name}.log").read_text(errors="replace")
+                raise AssertionError(f"{name} ended with {process.returncode}:\n{log[-2000:]}")
+
     def logs(self, lines: int = 15) -> str:
         """Return the last log lines of each host, for messages."""
         parts = []
