--- a/radishshunt/membership.py
+++ b/radishshunt/membership.py
@@ -78,6 +78,7 @@
         self._beating: dict[str, trio.CancelScope] = {}
         self._checking: set[str] = set()
         self._clocks = _ClockWatch()
+        self._answered_at: dict[str, float] = {}
         network.register(Heartbeat, self._answer)
         network.register(Probe, self._answer_probe)
 
@@ -85,6 +86,10 @@
         """Return when a host was last heard, in seconds since the Unix epoch; 0 for never."""
         return self._heard_at.get(host, 0.0)
 
+    def answered_at(self, host: str) -> float:
+        """Return when the last heartbeat that a host has answered was sent; 0 for never."""
+        return self._answered_at.get(host, 0.0)
+
     def is_live(self, host: str) -> bool:
         """Return whether a host is live.
 
@@ -174,7 +179,13 @@
         for host in self._beating.keys() - wanted:
             self._beating.pop(host).cancel()
         for host in [h for h in self._heard_at if h not in known]:
-            for table in (self._heard_at, self._asked_at, self._waiting_since, self._last):
+            for table in (
+                self._heard_at,
+                self._answered_at,
+                self._asked_at,
+                self._waiting_since,
+                self._last,
+            ):
                 table.pop(host, None)
             self._clocks.differences.pop(host, None)
 
@@ -220,10 +231,11 @@
     def _peer_beats(self, host: str, interval: float) -> bool:
         """Return whether the peer sends the heartbeats between the two hosts.
 
-        With many hosts only the one with the smaller name sends, and the other one answers; it
-        sends itself as soon as it has not been asked for longer than an interval.
+        Of two hosts that share no group only the one with the smaller name sends, and the other
+        one answers; it sends itself as soon as it has not been asked for longer than an interval.
+        Dispatcher and standby dispatcher both send, since a lease runs from an answered heartbeat.
         """
-        if self.members.topology.full_mesh or self._network.me.host < host:
+        if self._is_fast(host) or self._network.me.host < host:
             return False
         beat = self._last.get(host)
         return (
@@ -239,6 +251,7 @@
             self.members.return_news(host, beat.members)
             return False
         if isinstance(answer, Heartbeat) and answer.host == host:
+            self._answered_at[host] = sent_at
             self._clocks.note(host, sent_at, self._clock.now(), answer.sent_at)
             self._receive(answer, sent_at)
         return True
