--- a/radishshunt/experiment/profiles.py
+++ b/radishshunt/experiment/profiles.py
@@ -12,6 +12,8 @@
 from radishshunt.policy.admission.expected_wait import ExpectedWait
 from radishshunt.policy.balancing.expected_wait import LeastExpectedWait
 from radishshunt.policy.balancing.reported_load import ReportedLoad
+from radishshunt.policy.budgets import REFUSAL_RATIO, RETRY_RATIO
+from radishshunt.policy.capacity import STRAGGLER_SHARE
 from radishshunt.policy.cold_start.ramp import Ramp
 from radishshunt.policy.drain.staged import Staged
 from radishshunt.policy.hedging.budgeted import Budgeted
@@ -47,6 +49,10 @@
     heat: dict[str, Any] = field(default_factory=dict)
     hot_keys: dict[str, Any] = field(default_factory=dict)
     fifo: bool = False
+    send_ahead: int = 0
+    retry_ratio: float = RETRY_RATIO
+    refusal_ratio: float = REFUSAL_RATIO
+    straggler_share: float = STRAGGLER_SHARE
     no_hedging: bool = False
     no_isolation: bool = False
 
@@ -63,6 +69,7 @@
             ExpectedWait(queue_limit, **self._c.admission),
             Fifo() if self._c.fifo else AdaptiveLifo(**self._c.order),
             Ramp(slots, cold_slots, cold_seconds, **self._c.ramp),
+            self._c.send_ahead,
         )
 
     def balancing(self) -> Balancing:
@@ -89,7 +96,8 @@
 class Contender:
     """One side of a comparison.
 
-    :param name: ``policy``, ``static`` or ``reported``.
+    :param name: ``static`` and ``reported`` are the baselines; all others are the policy with
+        some constants.
     """
 
     name: str
@@ -98,7 +106,7 @@
     @property
     def adaptive(self) -> bool:
         """Whether this is the policy and not a baseline."""
-        return self.name == "policy"
+        return self.name not in ("static", "reported")
 
     def profile(self) -> Profile:
         """Return the dispatcher's policies."""
@@ -124,3 +132,5 @@
 POLICY = Contender("policy")
 STATIC = Contender("static")
 REPORTED = Contender("reported")
+# The policy with one request sent beyond a warm target's slots, for targets with a queue.
+AHEAD = Contender("policy, send-ahead 1", Constants(send_ahead=1))
--- a/radishshunt/planning.py
+++ b/radishshunt/planning.py
@@ -198,7 +198,8 @@
                 reason=result.status.value,
             )
         if not committed(result):
-            await self._sync.read_platform()
+            for row in rows:
+                await self._sync.refresh_row(row.group)
             return False
         for row in rows:
             version = result.versions[row.group.row_key]
