Keep control traffic under 4 KB/s in large systems

Cause: heartbeats of 220 bytes five times a second between hosts that share a group, in addition to eight peers, exceed 4 KB/s for a host with two such pairs; and news waited for the next heartbeat. Change: hosts that share a group exchange pulses of about 70 bytes between heartbeats, each asked by one side; both sides know what the other has received (answered_at), for leases. Peers exchange heartbeats every 2 s, and news is sent at once. Probing and the clock watch have modules of their own.

--- a/radishshunt/emulator/simulation.py
+++ b/radishshunt/emulator/simulation.py
@@ -35,12 +35,18 @@
     """What a host has sent.
 
     :ivar kinds: Messages by kind.
+    :ivar received: Bytes that were sent to the host.
     """
 
     messages: int = 0
     bytes: int = 0
+    received: int = 0
     kinds: Counter[str] = field(default_factory=Counter)
 
+    def total(self) -> int:
+        """Return the bytes in both directions."""
+        return self.bytes + self.received
+
 
 class Fabric:
     """Connects the networks of simulated hosts.
@@ -82,6 +88,7 @@
         traffic.messages += 1
         traffic.bytes += len(data)
         traffic.kinds[type(msg).__name__] += 1
+        self.traffic[receiver].received += len(data)
         await self._wait_running(sender)
         await trio.sleep(self.latency_seconds)
         if pair(sender, receiver) in self.cut:
--- a/radishshunt/members.py
+++ b/radishshunt/members.py
@@ -8,6 +8,7 @@
 from sys import intern
 from typing import TYPE_CHECKING
 
+import trio
 from xxhash import xxh3_64_intdigest
 
 from radishshunt.model import HostInfo
@@ -61,6 +62,7 @@
         self._news: dict[str, dict[str, Member]] = {}
         self._listed: set[str] | None = None
         self._topology: Topology | None = None
+        self._news_added = trio.Event()
         self.digest = 0
 
     @property
@@ -169,6 +171,14 @@
         self._listed = listed
         self._purge(now)
 
+    def has_news(self, peer: str) -> bool:
+        """Return whether there is news that a peer has yet to hear."""
+        return bool(self._news.get(peer))
+
+    async def wait_news(self) -> None:
+        """Wait until there is news for any peer."""
+        await self._news_added.wait()
+
     def take_news(self, peer: str) -> list[Member]:
         """Return the news that a peer has yet to hear, at most :data:`NEWS_PER_HEARTBEAT`."""
         waiting = self._news.get(peer)
@@ -214,6 +224,9 @@
                     waiting[member.host] = member
                     if len(waiting) > MAX_NEWS_AT_ONCE:
                         waiting.clear()
+        if news:
+            self._news_added.set()
+            self._news_added = trio.Event()
 
     def _accept(self, member: Member) -> bool:
         """Remember news.
--- a/radishshunt/membership.py
+++ b/radishshunt/membership.py
@@ -8,10 +8,12 @@
 import trio
 
 from radishshunt.clock import CLOCK_SKEW_BOUND
+from radishshunt.clock_watch import ClockWatch
 from radishshunt.errors import PeerUnavailable
 from radishshunt.members import Members, State
 from radishshunt.model import HostInfo
-from radishshunt.wire.messages import Heartbeat, Probe, ProbeAnswer
+from radishshunt.probing import PROBE_TIMEOUT_SECONDS, ask_for_contact
+from radishshunt.wire.messages import Heartbeat, Probe, ProbeAnswer, Pulse
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -27,20 +29,19 @@
 HEARTBEAT_INTERVAL_SECONDS = 0.2
 # Short enough that a silent connection is replaced and used before its host counts as lost.
 HEARTBEAT_TIMEOUT_SECONDS = 0.3
+RETRY_SECONDS = 0.02
 # Silence after which a host counts as lost.
 LOST_AFTER_SECONDS = 0.7
-# Between hosts that are peers only because there are too many for a full mesh. Eight such peers,
-# each heartbeat sent by one side and answered by the other, stay under 4 KB/s; at 0.2 s they don't.
-SLOW_INTERVAL_SECONDS = 1.0
-SLOW_LOST_AFTER_SECONDS = 2.5
+# With more hosts than a full mesh takes, heartbeats of about 220 bytes go to eight peers at this
+# interval, and pulses of about 70 bytes at the short one to hosts that share a group; more would
+# exceed 4 KB/s. News does not wait for the next heartbeat.
+SLOW_INTERVAL_SECONDS = 2.0
+SLOW_LOST_AFTER_SECONDS = 5.0
 # A host that was heard this recently counts as live without a probe of its own.
 FRESH_SECONDS = 0.3
-PROBE_TIMEOUT_SECONDS = 0.4
-CONFIRM_TIMEOUT_SECONDS = 0.5
 # Hosts asked about another one, and how many of them have to report no contact.
 PROBED_HOSTS = 5
 REPORTS_NEEDED = 2
-CLOCK_WARNING_INTERVAL_SECONDS = 60.0
 
 
 class Membership:
@@ -75,16 +76,29 @@
         self._asked_at: dict[str, float] = {}
         self._waiting_since: dict[str, float] = {}
         self._last: dict[str, Heartbeat] = {}
+        # By host, when the last question or answer that it has confirmed was sent here, the time
+        # in its last answer, and when and with which content the last heartbeat was sent to it.
+        self._answered_at: dict[str, float] = {}
+        self._echo: dict[str, float] = {}
+        self._told: dict[str, tuple[float, tuple]] = {}
         self._beating: dict[str, trio.CancelScope] = {}
         self._checking: set[str] = set()
-        self._clocks = _ClockWatch()
+        self._clocks = ClockWatch()
         network.register(Heartbeat, self._answer)
+        network.register(Pulse, self._answer_pulse)
         network.register(Probe, self._answer_probe)
 
     def heard_at(self, host: str) -> float:
         """Return when a host was last heard, in seconds since the Unix epoch; 0 for never."""
         return self._heard_at.get(host, 0.0)
 
+    def answered_at(self, host: str) -> float:
+        """Return when this host last sent what another one has confirmed to have received.
+
+        :return: Seconds since the Unix epoch; 0 for never.
+        """
+        return self._answered_at.get(host, 0.0)
+
     def is_live(self, host: str) -> bool:
         """Return whether a host is live.
 
@@ -134,14 +148,9 @@
         if self.is_live(host):
             return False
         others = self._hosts_to_ask(host)
+        reports = await ask_for_contact(self._network, self._clock, host, others)
         needed = min(REPORTS_NEEDED, len(others))
-        reports: list[bool] = []
-        with trio.move_on_after(CONFIRM_TIMEOUT_SECONDS):
-            async with trio.open_nursery() as nursery:
-                for other in others:
-                    nursery.start_soon(self._ask, other, host, reports)
         lost, seen = reports.count(False), reports.count(True)
-        confirmed = lost >= needed and seen < REPORTS_NEEDED and not self.is_live(host)
         logger.info(
             "host %s: %d of %d hosts asked report no contact, %d report contact",
             host,
@@ -149,7 +158,7 @@
             len(others),
             seen,
         )
-        return confirmed
+        return lost >= needed and seen < REPORTS_NEEDED and not self.is_live(host)
 
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
@@ -174,9 +183,20 @@
         for host in self._beating.keys() - wanted:
             self._beating.pop(host).cancel()
         for host in [h for h in self._heard_at if h not in known]:
-            for table in (self._heard_at, self._asked_at, self._waiting_since, self._last):
-                table.pop(host, None)
-            self._clocks.differences.pop(host, None)
+            self._forget(host)
+
+    def _forget(self, host: str) -> None:
+        for table in (
+            self._heard_at,
+            self._asked_at,
+            self._waiting_since,
+            self._last,
+            self._answered_at,
+            self._echo,
+            self._told,
+        ):
+            table.pop(host, None)
+        self._clocks.forget(host)
 
     def _check_silent(self, nursery: trio.Nursery) -> None:
         """Have the loss of silent peers confirmed, and tell the hosts that don't see it."""
@@ -207,44 +227,117 @@
     async def _beat(self, host: str, scope: trio.CancelScope) -> None:
         with scope:
             while True:
-                interval = (
-                    HEARTBEAT_INTERVAL_SECONDS if self._is_fast(host) else SLOW_INTERVAL_SECONDS
-                )
+                fast = self._is_fast(host)
+                interval = HEARTBEAT_INTERVAL_SECONDS if fast else SLOW_INTERVAL_SECONDS
                 answered = True
-                if not self._peer_beats(host, interval):
+                if self._is_heartbeat_due(host):
                     answered = await self._call(host)
-                # After a failure a new connection is tried at once, and then at the interval.
-                failed_before = not answered and self.heard_at(host) < self._clock.now() - interval
-                await trio.sleep(interval if answered or failed_before else 0.02)
+                elif fast and not self._peer_asks(host, interval):
+                    answered = await self._send_pulse(host)
+                if answered:
+                    await self._pause(host, interval)
+                elif self.heard_at(host) < self._clock.now() - interval:
+                    await trio.sleep(interval)
+                else:
+                    # After the first failure a new connection is tried at once.
+                    await trio.sleep(RETRY_SECONDS)
+
+    async def _pause(self, host: str, interval: float) -> None:
+        """Wait for an interval, or less if there is news for a host."""
+        deadline = trio.current_time() + interval
+        await trio.sleep(HEARTBEAT_INTERVAL_SECONDS)
+        with trio.move_on_at(deadline):
+            while not self.members.has_news(host):
+                await self.members.wait_news()
+
+    def _is_heartbeat_due(self, host: str) -> bool:
+        """Return whether this host has to send a heartbeat, and not a pulse or nothing."""
+        if self.members.topology.full_mesh or self.members.has_news(host):
+            return True
+        told_at, content = self._told.get(host, (0.0, ()))
+        if content != _content(self._describe()) and self._is_fast(host):
+            return True
+        since = self._clock.now() - told_at
+        if self._peer_asks(host, SLOW_INTERVAL_SECONDS):
+            return False
+        return since >= 0.9 * SLOW_INTERVAL_SECONDS
 
-    def _peer_beats(self, host: str, interval: float) -> bool:
-        """Return whether the peer sends the heartbeats between the two hosts.
+    def _peer_asks(self, host: str, interval: float) -> bool:
+        """Return whether the peer sends the heartbeats and pulses between the two hosts.
 
         With many hosts only the one with the smaller name sends, and the other one answers; it
         sends itself as soon as it has not been asked for longer than an interval.
         """
         if self.members.topology.full_mesh or self._network.me.host < host:
             return False
-        beat = self._last.get(host)
-        return (
-            beat is not None and self._clock.now() - self._asked_at.get(host, 0.0) < 1.5 * interval
-        )
+        asked_at = self._asked_at.get(host, 0.0)
+        return host in self._last and self._clock.now() - asked_at < 1.5 * interval
 
     async def _call(self, host: str) -> bool:
         beat = self._own_beat(host)
-        sent_at = self._clock.now()
+        sent_at = beat.sent_at = self._clock.now()
         try:
             answer = await self._network.call(host, beat, HEARTBEAT_TIMEOUT_SECONDS)
         except PeerUnavailable:
             self.members.return_news(host, beat.members)
             return False
         if isinstance(answer, Heartbeat) and answer.host == host:
-            self._clocks.note(host, sent_at, self._clock.now(), answer.sent_at)
+            self._confirm(host, sent_at, answer.sent_at)
             self._receive(answer, sent_at)
         return True
 
+    async def _send_pulse(self, host: str) -> bool:
+        pulse = self._own_pulse(host)
+        try:
+            answer = await self._network.call(host, pulse, HEARTBEAT_TIMEOUT_SECONDS)
+        except PeerUnavailable:
+            return False
+        if isinstance(answer, Pulse) and not self._is_gone(host):
+            self._confirm(host, pulse.sent_at, answer.sent_at)
+            self._receive_pulse(host, answer, pulse.sent_at)
+        return True
+
+    def _confirm(self, host: str, sent_at: float, peer_at: float) -> None:
+        """Take an answer to what this host sent."""
+        self._answered_at[host] = max(sent_at, self.answered_at(host))
+        self._echo[host] = peer_at
+        self._clocks.note(host, sent_at, self._clock.now(), peer_at)
+
+    def _take_echo(self, host: str, echo: float) -> None:
+        """Take that an answer of this host has arrived."""
+        if echo <= self._clock.now():
+            self._answered_at[host] = max(echo, self.answered_at(host))
+
+    async def _answer_pulse(self, conn: PeerConnection, stream: Stream, msg: Message) -> None:
+        assert isinstance(msg, Pulse)
+        host = conn.peer_name
+        if not self._is_gone(host):
+            self._asked_at[host] = self._clock.now()
+            self._take_echo(host, msg.echo)
+            contact_at = min(msg.sent_at, self._clock.now()) - CLOCK_SKEW_BOUND
+            self._receive_pulse(host, msg, contact_at)
+        await stream.send(self._own_pulse(host))
+
+    def _receive_pulse(self, host: str, pulse: Pulse, contact_at: float) -> None:
+        self._heard_at[host] = self._clock.now()
+        if self._contact is not None:
+            self._contact.note(contact_at, pulse.catalog_version)
+        if pulse.catalog_version > self._describe().catalog_version:
+            # A heartbeat has the peer's answer compared with what is known here.
+            self._told.pop(host, None)
+
+    def _own_pulse(self, host: str) -> Pulse:
+        version = self._describe().catalog_version
+        return Pulse(self._clock.now(), self._echo.get(host, 0.0), version)
+
+    def _is_gone(self, host: str) -> bool:
+        known = self.members.get(host)
+        return known is None or known.state == State.GONE
+
     def _own_beat(self, host: str) -> Heartbeat:
         beat = self._describe()
+        self._told[host] = (self._clock.now(), _content(beat))
+        beat.echo = self._echo.get(host, 0.0)
         beat.members = self.members.take_news(host)
         beat.members_digest = self.members.digest
         return beat
@@ -252,6 +345,7 @@
     async def _answer(self, _conn: PeerConnection, stream: Stream, msg: Message) -> None:
         assert isinstance(msg, Heartbeat)
         self._asked_at[msg.host] = self._clock.now()
+        self._take_echo(msg.host, msg.echo)
         # The news that came with the question is taken first, so that the answer is up to date. A
         # question can have waited in a buffer while this host was paused, so the contact counts
         # from the time that the sender gives.
@@ -280,14 +374,6 @@
         known = self.members.get(host)
         return known is not None and known.state in (State.ALIVE, State.LEAVING)
 
-    async def _ask(self, other: str, host: str, reports: list[bool]) -> None:
-        try:
-            answer = await self._network.call(other, Probe(host), PROBE_TIMEOUT_SECONDS)
-        except PeerUnavailable:
-            return
-        if isinstance(answer, ProbeAnswer):
-            reports.append(self._clock.now() - answer.heard_at <= LOST_AFTER_SECONDS)
-
     async def _answer_probe(self, _conn: PeerConnection, stream: Stream, msg: Message) -> None:
         assert isinstance(msg, Probe)
         host = msg.host
@@ -302,25 +388,8 @@
         await stream.send(ProbeAnswer(heard_at))
 
 
-class _ClockWatch:
-    """Differences between the clocks of this host and its peers."""
-
-    def __init__(self) -> None:
-        self.differences: dict[str, float] = {}
-        self._warned_at: dict[str, float] = {}
-
-    def note(self, host: str, sent_at: float, received_at: float, peer_at: float) -> None:
-        """Take the times of a heartbeat and of its answer."""
-        difference = peer_at - (sent_at + received_at) / 2
-        self.differences[host] = difference
-        # The answer was written at some time between the two, so half of that is uncertain.
-        if abs(difference) - (received_at - sent_at) / 2 <= CLOCK_SKEW_BOUND:
-            return
-        if received_at - self._warned_at.get(host, float("-inf")) >= CLOCK_WARNING_INTERVAL_SECONDS:
-            self._warned_at[host] = received_at
-            logger.warning(
-                "clock of host %s differs by %.3f s, more than %.1f s",
-                host,
-                difference,
-                CLOCK_SKEW_BOUND,
-            )
+def _content(beat: Heartbeat) -> tuple:
+    """Return the part of a heartbeat that a host sharing a group has to know at once."""
+    groups = tuple((g.service, g.group, g.generation) for g in beat.groups)
+    suspects = tuple((s.fingerprint, s.deaths) for s in beat.suspects)
+    return beat.catalog_version, beat.leaving, groups, suspects
--- a/radishshunt/platform_reader.py
+++ b/radishshunt/platform_reader.py
@@ -32,7 +32,7 @@
 # A host that does not read regularly does so when no host that it hears has reached the platform
 # for this long, and then all such hosts together at most this often.
 STALE_SECONDS = 2.0
-STALE_LARGE_SECONDS = 15.0
+STALE_LARGE_SECONDS = 30.0
 STALE_READS_PER_SECOND = 100.0
 # A started host waits this long for peers before it reads all rows from the platform.
 PEERS_FIRST_SECONDS = 1.0
--- a/radishshunt/wire/codec.py
+++ b/radishshunt/wire/codec.py
@@ -27,6 +27,7 @@
     Message,
     Probe,
     ProbeAnswer,
+    Pulse,
     RequestHead,
     ResponseHead,
     Suspect,
@@ -63,6 +64,10 @@
         ),
     ),
     Probe: ("probe", (("host", "host"),)),
+    Pulse: (
+        "pulse",
+        (("sent_at", "sentAt"), ("echo", "echo"), ("catalog_version", "catalogVersion")),
+    ),
     ProbeAnswer: ("probeAnswer", (("heard_at", "heardAt"),)),
     Document: ("document", (("name", "name"), ("version", "version"), ("content", "content"))),
     Announce: ("announce", (("name", "name"), ("version", "version"), ("content", "content"))),
@@ -210,6 +215,7 @@
     part.platformSeenAt = msg.platform_seen_at
     part.rowsDigest = msg.rows_digest
     part.membersDigest = msg.members_digest
+    part.echo = msg.echo
     for item, member in zip(part.init("members", len(msg.members)), msg.members, strict=True):
         item.host = member.host
         item.incarnation = member.incarnation
@@ -248,6 +254,7 @@
         members=[
             Member(m.host, m.incarnation, m.domain, m.address, m.state, m.at) for m in part.members
         ],
+        echo=part.echo,
     )
 
 
--- a/radishshunt/wire/connection.py
+++ b/radishshunt/wire/connection.py
@@ -305,6 +305,7 @@
 def _opens_stream(msg: Message) -> bool:
     return type(msg).__name__ in {
         "Heartbeat",
+        "Pulse",
         "RequestHead",
         "Probe",
         "Intents",
--- a/radishshunt/wire/messages.py
+++ b/radishshunt/wire/messages.py
@@ -71,6 +71,7 @@
     :param rows_digest: Digest of the generations of all rows that the sender knows.
     :param members_digest: Digest of the sender's view of the hosts.
     :param members: News of hosts.
+    :param echo: Time in the receiver's last answer that reached the sender, 0 for none.
     """
 
     host: str
@@ -86,6 +87,20 @@
     rows_digest: int = 0
     members_digest: int = 0
     members: list[Member] = field(default_factory=list)
+    echo: float = 0.0
+
+
+@dataclass(slots=True)
+class Pulse:
+    """Sign of life between heartbeats, answered with another one.
+
+    :param sent_at: Seconds since the Unix epoch on the sender's clock.
+    :param echo: As in :class:`Heartbeat`.
+    """
+
+    sent_at: float
+    echo: float
+    catalog_version: int
 
 
 @dataclass(slots=True)
@@ -239,4 +254,5 @@
     | Fetch
     | Document
     | Announce
+    | Pulse
 )
--- a/radishshunt/wire/radishshunt.capnp
+++ b/radishshunt/wire/radishshunt.capnp
@@ -51,6 +51,13 @@
   rowsDigest @10 :UInt64;
   membersDigest @11 :UInt64;
   members @12 :List(Member);
+  echo @13 :Float64;
+}
+
+struct Pulse {
+  sentAt @0 :Float64;
+  echo @1 :Float64;
+  catalogVersion @2 :UInt64;
 }
 
 struct RequestHead {
@@ -124,5 +131,6 @@
     fetch @14 :Text;
     document @15 :Document;
     announce @16 :Document;
+    pulse @17 :Pulse;
   }
 }
--- a/tests/test_membership/test_membership_liveness.py
+++ b/tests/test_membership/test_membership_liveness.py
@@ -131,6 +131,46 @@
             assert await sim.hosts[A].membership.confirmed_lost(name)
 
 
+async def test_both_hosts_of_a_pair_know_what_the_other_has_received(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a dispatch lease that one side of a pair can't renew."""
+    async with running(40) as sim:
+        name = next(h for h in sim.hosts if h != A and h not in sim.hosts[A].members.peers)
+        one, other = sim.hosts[A], sim.hosts[name]
+        one.pairs.add(name)
+        other.pairs.add(A)
+        await trio.sleep(2.0)
+        for _ in range(50):
+            await trio.sleep(0.1)
+            now = one.clock.now()
+            assert now - one.membership.answered_at(name) < 0.5
+            assert now - other.membership.answered_at(A) < 0.5
+        sim.fabric.cut.add(pair(A, name))
+        await trio.sleep(1.0)
+        now = one.clock.now()
+        assert now - one.membership.answered_at(name) >= 0.9
+        assert now - other.membership.answered_at(A) >= 0.9
+
+
+async def test_control_traffic_of_a_host_is_bounded(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against more than 4 KB/s for each host of a large system."""
+    async with running(100, 6) as sim:
+        names = list(sim.hosts)
+        # Each host dispatches a group and is standby dispatcher of another one.
+        for one, other in zip(names, names[37:] + names[:37], strict=True):
+            sim.hosts[one].pairs.add(other)
+            sim.hosts[other].pairs.add(one)
+        await trio.sleep(30.0)
+        before = {name: sim.fabric.traffic[name].total() for name in names}
+        await trio.sleep(20.0)
+        rates = [(sim.fabric.traffic[name].total() - before[name]) / 20.0 for name in names]
+        assert max(rates) < 4000
+        assert all(sim.hosts[h].membership.is_live(p) for h in names for p in sim.hosts[h].pairs)
+
+
 @pytest.mark.parametrize("hosts", [5, 40])
 async def test_host_that_left_the_list_is_forgotten(
     hosts: int, autojump_clock: trio.testing.MockClock
