--- a/radishshunt/emulator/simulation.py
+++ b/radishshunt/emulator/simulation.py
@@ -11,7 +11,7 @@
 from radishshunt.contact import Contact
 from radishshunt.directory import Directory
 from radishshunt.errors import PeerUnavailable, PlatformUnavailable
-from radishshunt.members import Members
+from radishshunt.members import Members, State
 from radishshunt.membership import Membership
 from radishshunt.model import HostInfo
 from radishshunt.peers import PeerNetwork
@@ -19,7 +19,7 @@
 from radishshunt.platform.memory import MemoryHostList, MemoryObjectStore, MemoryTable
 from radishshunt.sync import Sync
 from radishshunt.wire.codec import LENGTH_BYTES, decode, encode
-from radishshunt.wire.messages import Heartbeat
+from radishshunt.wire.messages import Heartbeat, Member
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -365,6 +365,18 @@
         for number in range(hosts):
             self.add(f"host-{number:05d}", f"domain-{number % domains:02d}")
 
+    def settle(self) -> None:
+        """Let every host know all others, as if they had run for long."""
+        at = self.clock.now()
+        records = [
+            Member(
+                h.me.host, h.me.incarnation, h.me.domain, h.me.address, int(State.ALIVE), at - 1.0
+            )
+            for h in self.hosts.values()
+        ]
+        for host in self.hosts.values():
+            host.members.merge(records, "")
+
     def add(
         self, name: str, domain: str, *, incarnation: int = 0, seeds: Iterable[str] = ()
     ) -> SimulatedHost:
