--- a/radishshunt/wire/codec.py
+++ b/radishshunt/wire/codec.py
@@ -28,6 +28,7 @@
     Notice,
     Probe,
     ProbeAnswer,
+    Pulse,
     RequestHead,
     ResponseHead,
     Suspect,
@@ -64,6 +65,10 @@
         ),
     ),
     Probe: ("probe", (("host", "host"),)),
+    Pulse: (
+        "pulse",
+        (("sent_at", "sentAt"), ("echo", "echo"), ("catalog_version", "catalogVersion")),
+    ),
     ProbeAnswer: ("probeAnswer", (("heard_at", "heardAt"),)),
     Document: ("document", (("name", "name"), ("version", "version"), ("content", "content"))),
     Notice: (
@@ -221,6 +226,7 @@
     part.platformSeenAt = msg.platform_seen_at
     part.rowsDigest = msg.rows_digest
     part.membersDigest = msg.members_digest
+    part.echo = msg.echo
     for item, member in zip(part.init("members", len(msg.members)), msg.members, strict=True):
         item.host = member.host
         item.incarnation = member.incarnation
@@ -259,6 +265,7 @@
         members=[
             Member(m.host, m.incarnation, m.domain, m.address, m.state, m.at) for m in part.members
         ],
+        echo=part.echo,
     )
 
 
--- a/radishshunt/wire/radishshunt.capnp
+++ b/radishshunt/wire/radishshunt.capnp
@@ -51,6 +51,13 @@
   rowsDigest @10 :UInt64;
   membersDigest @11 :UInt64;
   members @12 :List(Member);
+  echo @13 :Float64;
+}
+
+struct Pulse {
+  sentAt @0 :Float64;
+  echo @1 :Float64;
+  catalogVersion @2 :UInt64;
 }
 
 struct RequestHead {
@@ -133,5 +140,6 @@
     document @15 :Document;
     announce @16 :Document;
     notice @17 :Notice;
+    pulse @18 :Pulse;
   }
 }
