--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint scenarios unit binary bench measure soak capacity clean
+.PHONY: setup demo test lint scenarios unit binary bench reference measure soak capacity clean
 
 # The stamp is newer than pyproject.toml once its dependencies are installed.
 $(VENV)/.installed: pyproject.toml
@@ -40,5 +40,11 @@
 capacity: setup
 	$(BIN)/python -m radishshunt.experiment.capacity
 
+bench: setup
+	$(BIN)/radishshunt bench
+
+reference: setup
+	$(BIN)/python docs/generate_settings.py
+
 clean:
 	rm -rf build dist report
