--- a/radishshunt/app.py
+++ b/radishshunt/app.py
@@ -9,10 +9,12 @@
 
 from radishshunt.admin import build_app
 from radishshunt.clock import Clock, SystemClock
+from radishshunt.contact import Contact
 from radishshunt.directory import Directory
 from radishshunt.dispatch.manager import DispatchManager
 from radishshunt.frontend import Frontend
 from radishshunt.http_server import HttpServer
+from radishshunt.members import Members
 from radishshunt.membership import Membership
 from radishshunt.memory import BodyMemory
 from radishshunt.metrics import Metrics
@@ -29,6 +31,7 @@
 if TYPE_CHECKING:
     from radishshunt.platform import Platform
     from radishshunt.release.catalog import Catalog
+    from radishshunt.release.note import ReleaseNote
     from radishshunt.settings import Settings
 
 logger = logging.getLogger(__name__)
@@ -65,8 +68,27 @@
             self.clock,
             ip_of(cfg.peers.address),
         )
-        self.membership = Membership(self.network, self.clock, self.describe, self._on_heartbeat)
-        self.sync = Sync(self.directory, self.network, self.platform, self.clock, self._on_catalog)
+        self.members = Members(self.me, self.network, self.clock)
+        self.contact = Contact(self.directory, self.members)
+        self.membership = Membership(
+            self.network,
+            self.clock,
+            self.describe,
+            self._on_heartbeat,
+            self.members,
+            self.contact,
+            self._paired_hosts,
+        )
+        self.sync = Sync(
+            self.directory,
+            self.network,
+            self.platform,
+            self.clock,
+            self._on_catalog,
+            self.members,
+            self.contact,
+            cfg.peers.seeds,
+        )
         self.planning = Planning(
             self.me.host,
             self.directory,
@@ -85,6 +107,7 @@
             self.metrics,
             self.memory,
         )
+        self._pairs: tuple[int, frozenset[str]] = (0, frozenset())
         self.frontend = Frontend(self.router, cfg.limits, self.clock, self.metrics, self.memory)
         self.leaving = False
         self._callers_server: HttpServer | None = None
@@ -94,6 +117,7 @@
     def stop(self) -> None:
         """Begin a graceful stop."""
         self.leaving = True
+        self.members.declare(leaving=True)
         if self._callers_server is not None:
             # Answers now close their connections, so that no caller sends on one that ends.
             self._callers_server.leaving = True
@@ -120,12 +144,17 @@
             groups=self.dispatch.states(),
             leaving=self.leaving,
             sent_at=self.clock.now(),
+            platform_seen_at=self.sync.platform_seen_at,
+            rows_digest=self.directory.rows_digest,
         )
 
-    async def take_catalog(self, catalog: Catalog) -> None:
-        """Put an accepted catalog into force here and announce it to all peers."""
-        self.sync.take_catalog(catalog, "submitted here")
-        await self.sync.announce_catalog(catalog)
+    async def take_catalog(self, catalog: Catalog, note: ReleaseNote | None = None) -> None:
+        """Put an accepted catalog into force here and announce it to the peers.
+
+        :param note: Note that led to the catalog.
+        """
+        self.sync.take_catalog(catalog, "submitted here", note)
+        await trio.lowlevel.checkpoint()
 
     def unready_reasons(self) -> list[str]:
         """Return why the balancer should not send callers here; empty if it should."""
@@ -134,6 +163,10 @@
             reasons.append("the host is stopping")
         if not self.directory.catalog.version:
             reasons.append("no release note is known yet")
+        if not self.sync.loaded:
+            reasons.append("the rows were read neither from a peer nor from the platform")
+        elif not self.contact.may_send_new_work(self.clock.now()):
+            reasons.append("no recent contact with a peer or with the platform")
         return reasons
 
     def status(self) -> dict[str, Any]:
@@ -185,6 +218,19 @@
             while self.frontend.running or any(g.load for g in self.dispatch.groups.values()):
                 await trio.sleep(STOP_POLL_SECONDS)
 
+    def _paired_hosts(self) -> frozenset[str]:
+        """Return the hosts that share a group with this one as its other dispatcher."""
+        digest = self.directory.rows_digest
+        if self._pairs[0] != digest:
+            me = self.me.host
+            pairs = set()
+            for row in self.directory.rows.values():
+                standby = row.standby_dispatcher.host if row.standby_dispatcher else me
+                if me in (row.dispatcher.host, standby):
+                    pairs |= {row.dispatcher.host, standby}
+            self._pairs = (digest, frozenset(pairs - {me}))
+        return self._pairs[1]
+
     def _on_heartbeat(self, beat: Heartbeat) -> None:
         self.sync.note_heartbeat(beat)
 
