Do not write to a connection whose sending side is being closed

Generated bytes after a last request made the listener answer 400 while the end of the stream was being sent, which ended the whole listener.

--- a/docs/generate_settings.py
+++ b/docs/generate_settings.py
@@ -18,7 +18,7 @@
 HEAD = """\
 # Settings of an entry host
 
-`radishshunt serve FILE` reads these settings from a YAML file; `radishshunt check FILE` checks them.
+`radishshunt serve FILE` reads these settings from YAML; `radishshunt check FILE` checks them.
 Unknown members are errors. `make reference` writes this page from `radishshunt/settings.py`.
 """
 
--- a/radishshunt/http_server.py
+++ b/radishshunt/http_server.py
@@ -319,6 +319,7 @@
         self._transport = transport
         self._receiving = trio.CancelScope()
         self._drain_deadline = float("inf")
+        self._ended = False
         self._idle_deadline = trio.current_time() + IDLE_SECONDS
 
     def reset(self) -> None:
@@ -360,6 +361,8 @@
     async def protocol_send(self, event: Any) -> None:
         if isinstance(event, RawData):
             async with self.send_lock:
+                if self._ended:
+                    return
                 try:
                     with trio.fail_after(SEND_SECONDS):
                         await self.stream.send_all(event.data)
@@ -392,10 +395,12 @@
         self._drain_until(trio.current_time() + DRAIN_SECONDS)
         if self.stream is not self._transport:
             return
-        try:
-            await self._transport.send_eof()
-        except (trio.BrokenResourceError, trio.BusyResourceError, trio.ClosedResourceError):
-            self._drain_until(trio.current_time())
+        async with self.send_lock:
+            self._ended = True
+            try:
+                await self._transport.send_eof()
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self._drain_until(trio.current_time())
 
     def _drain_until(self, deadline: float) -> None:
         self._drain_deadline = deadline
--- a/tests/test_frontend/test_frontend_grammar.py
+++ b/tests/test_frontend/test_frontend_grammar.py
@@ -6,7 +6,7 @@
 from functools import partial
 
 import trio
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 
 from radishshunt.errors import NotRun
@@ -90,6 +90,16 @@
     deadline=None,
     suppress_health_check=[HealthCheck.function_scoped_fixture],
 )
+@example(
+    parts=[b"PRI * HTTP/2.0\r\n", HEAD, b"Connection: close\r\n\r\n", b"hello"],
+    cuts=[],
+    closes=False,
+)
+@example(
+    parts=[b"GET / HTTP/1.1\r\n", HEAD, b"Connection: close\r\n\r\n", b"hello"],
+    cuts=[],
+    closes=False,
+)
 @given(
     parts=st.lists(PARTS, max_size=12),
     cuts=st.lists(st.integers(0, 200), max_size=3),
