--- a/radishshunt/http_server.py
+++ b/radishshunt/http_server.py
@@ -76,6 +76,8 @@
 
     :param name: Name of the listener in log lines, for example ``callers``.
     :param connections: Connections open at once; more are answered with status 503.
+    :ivar leaving: Whether connections are closed after their answers.
+    :ivar faults: Connections that ended with a fault of the listener.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
     ) -> None:
         self.name = name
         self.leaving = False
+        self.faults = 0
         self.head_seconds = head_seconds
         self._app = app
         self._address = address
@@ -143,6 +146,10 @@
         self._connections.add(conn)
         try:
             await conn.run()
+        except* Exception as group:
+            # A fault in one connection must not end the listener.
+            self.faults += 1
+            logger.error("connection of listener %s failed", self.name, exc_info=group)
         finally:
             self._connections.discard(conn)
 
--- a/tests/test_frontend/conftest.py
+++ b/tests/test_frontend/conftest.py
@@ -143,6 +143,7 @@
             await nursery.start(server.run)
             yield Listener(address, router, frontend, memory, server, metrics)
             nursery.cancel_scope.cancel()
+        assert server.faults == 0
 
     return run
 
