--- a/radishshunt/http_server.py
+++ b/radishshunt/http_server.py
@@ -76,6 +76,8 @@
 
     :param name: Name of the listener in log lines, for example ``callers``.
     :param connections: Connections open at once; more are answered with status 503.
+    :ivar leaving: Whether connections are closed after their answers.
+    :ivar faults: Connections that ended with a fault of the listener.
     """
 
     def __init__(
@@ -90,6 +92,7 @@
     ) -> None:
         self.name = name
         self.leaving = False
+        self.faults = 0
         self.head_seconds = head_seconds
         self._app = app
         self._address = address
@@ -143,6 +146,10 @@
         self._connections.add(conn)
         try:
             await conn.run()
+        except* Exception as group:
+            # A fault in one connection must not end the listener.
+            self.faults += 1
+            logger.error("connection of listener %s failed", self.name, exc_info=group)
         finally:
             self._connections.discard(conn)
 
@@ -319,6 +326,7 @@
         self._transport = transport
         self._receiving = trio.CancelScope()
         self._drain_deadline = float("inf")
+        self._ended = False
         self._idle_deadline = trio.current_time() + IDLE_SECONDS
 
     def reset(self) -> None:
@@ -360,6 +368,8 @@
     async def protocol_send(self, event: Any) -> None:
         if isinstance(event, RawData):
             async with self.send_lock:
+                if self._ended:
+                    return
                 try:
                     with trio.fail_after(SEND_SECONDS):
                         await self.stream.send_all(event.data)
@@ -392,10 +402,12 @@
         self._drain_until(trio.current_time() + DRAIN_SECONDS)
         if self.stream is not self._transport:
             return
-        try:
-            await self._transport.send_eof()
-        except (trio.BrokenResourceError, trio.BusyResourceError, trio.ClosedResourceError):
-            self._drain_until(trio.current_time())
+        async with self.send_lock:
+            self._ended = True
+            try:
+                await self._transport.send_eof()
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self._drain_until(trio.current_time())
 
     def _drain_until(self, deadline: float) -> None:
         self._drain_deadline = deadline
