Settle slices of lost dispatchers and targets by the end of former hosts

Cause: after the loss of a dispatcher together with an owner, the standby dispatcher wrote a row that forgot who had dispatched before. Its slices then waited for ever for a fence of the lost target, even after the platform's list had dropped the former host.

Change: rows name the runs of hosts that may have issued the grants listed in `unfenced` (`former_hosts`). Once all of them have restarted or left the list, their grants end after one grant length. A host that has taken over writes no row before all slices are settled. A lost target keeps its share of its group's slices as long as another target of the group answers.

--- a/radishshunt/dispatch/grants.py
+++ b/radishshunt/dispatch/grants.py
@@ -103,16 +103,32 @@
         self._ownership.on_rivals_stopped(0.0, former.latest_deadlines(), former.begun_slices())
 
     def on_rivals_stopped(
-        self, latest_deadline: float, deadline_of: Mapping[str, float] | None = None
+        self,
+        latest_deadline: float,
+        deadline_of: Mapping[str, float] | None = None,
+        *,
+        only_row: bool = False,
     ) -> None:
-        """Take the news that no other host grants under a lower generation any more."""
-        self._ownership.on_rivals_stopped(latest_deadline, deadline_of)
+        """Take the news that no other host grants under a lower generation any more.
+
+        :param only_row: Whether this is known only of the dispatcher that the row names, not of
+            the hosts before it.
+        """
+        slices = None
+        if only_row:
+            row = self._ownership.row
+            slices = frozenset(row.slices).difference(*row.unfenced.values())
+        self._ownership.on_rivals_stopped(latest_deadline, deadline_of, slices)
         self._wake_up()
 
     def lost_targets(self) -> set[str]:
         """Return the targets that do not answer."""
         return self._ownership.lost_targets(self._clock.now())
 
+    def all_begun(self) -> bool:
+        """Return whether the fences before the first grant are complete for all slices."""
+        return len(self._ownership.begun_slices()) == len(self._ownership.row.slices)
+
     def moved_slices(self) -> frozenset[int]:
         """Return the slices that their standby serves."""
         return self._ownership.moved_slices()
--- a/radishshunt/dispatch/takeover.py
+++ b/radishshunt/dispatch/takeover.py
@@ -64,6 +64,7 @@
         self._checked_at: dict[str, float] = {}
         self._known: set[str] = set()
         self._settled: dict[GroupId, int] = {}
+        self._lease_waited: dict[GroupId, int] = {}
         self._nursery: trio.Nursery | None = None
         self._ended_at: dict[HostRef, float] = {}
         dispatch.lease_of = self.lease_of
@@ -157,14 +158,12 @@
         self._known |= self._network.hosts.keys()
         incarnations = self._incarnations()
         suspected: dict[str, list[GroupRow]] = {}
+        for running in self._dispatch.groups.values():
+            self._settle(running.row, running)
         for group, row in list(self._directory.rows.items()):
             if row.standby_dispatcher != self._me or row.dispatcher.host == self._me.host:
                 continue
-            running = self._dispatch.groups.get(group)
-            if running is not None:
-                if running.generation == row.generation + 1:
-                    self._settle(row, running)
-            elif not self.holds(row):
+            if group not in self._dispatch.groups and not self.holds(row):
                 host = row.dispatcher.host
                 now_running = incarnations.get(host)
                 if now_running not in (None, row.dispatcher.incarnation):
@@ -193,18 +192,30 @@
 
     def _settle(self, row: GroupRow, running: GroupDispatcher) -> None:
         """Find out whether the former dispatcher's grants end without fences."""
+        taken_over = running.generation > row.generation
         if self._settled.get(row.group) == running.generation:
             return
+        rivals = set(row.former_hosts) - {self._me}
+        if taken_over:
+            rivals.add(row.dispatcher)
+        if not taken_over and not row.unfenced:
+            return
         host = row.dispatcher.host
-        if self._has_ended(row.dispatcher):
+        if all(self._has_ended(run) for run in rivals):
             # The last grant was sent before now.
-            end = self._clock.now() + running.grant_seconds + CLOCK_SKEW_BOUND
-            running.grants.on_rivals_stopped(end)
-        elif running.leased:
+            running.grants.on_rivals_stopped(self._clock.now() + running.grant_seconds)
+        elif (
+            taken_over
+            and running.leased
+            and self._lease_waited.get(row.group) != running.generation
+        ):
+            self._lease_waited[row.group] = running.generation
             # Without a lease, the former dispatcher neither sends nor renews.
             lease_end = self._membership.heard_at(host) + LEASE_SECONDS + CLOCK_SKEW_BOUND
             ends = dict.fromkeys(running.unchecked, lease_end)
-            running.grants.on_rivals_stopped(lease_end + running.grant_seconds, ends)
+            end = lease_end + running.grant_seconds
+            running.grants.on_rivals_stopped(end, ends, only_row=True)
+            return
         else:
             return
         self._settled[row.group] = running.generation
@@ -253,8 +264,7 @@
         running = running or self._take_over(row, "handed-over")
         if running is None:
             return False
-        running.grants.on_rivals_stopped(msg.deadline)
-        self._settled[group] = running.generation
+        running.grants.on_rivals_stopped(msg.deadline, only_row=True)
         return True
 
     def _incarnations(self) -> dict[str, int]:
--- a/radishshunt/model.py
+++ b/radishshunt/model.py
@@ -99,6 +99,7 @@
     :param targets: Names of the group's targets.
     :param slices: Assignment of each slice; empty for services without keys.
     :param unfenced: For each former target, the slices it may still hold a grant for.
+    :param former_hosts: Runs of hosts that may have issued those grants.
     :param version: Version of the table row this was read from, 0 if never written.
     """
 
@@ -109,6 +110,7 @@
     targets: tuple[str, ...]
     slices: Mapping[int, SliceAssignment] = field(default_factory=dict)
     unfenced: dict[str, tuple[int, ...]] = field(default_factory=dict)
+    former_hosts: tuple[HostRef, ...] = ()
     version: int = 0
 
     def __post_init__(self) -> None:
@@ -126,6 +128,7 @@
             "targets": self.targets,
             "slices": self.slices.to_document(),
             "unfenced": {name: to_ranges(numbers) for name, numbers in self.unfenced.items()},
+            "former_hosts": [asdict(run) for run in self.former_hosts],
         }
         return json.dumps(doc, separators=(",", ":"), sort_keys=True).encode()
 
@@ -146,6 +149,7 @@
             targets=tuple(doc["targets"]),
             slices=SliceMap.from_document(doc["slices"]),
             unfenced={name: tuple(from_ranges(r)) for name, r in doc["unfenced"].items()},
+            former_hosts=tuple(HostRef(**run) for run in doc["former_hosts"]),
             version=version,
         )
 
--- a/radishshunt/ownership.py
+++ b/radishshunt/ownership.py
@@ -395,7 +395,12 @@
     def _waits_for_rivals(self, bundle: Bundle, now: float) -> bool:
         """Return whether a target that checks no fences may still get another host's requests."""
         exposed = self.unchecked & (bundle.names if self.taken_over else bundle.former)
-        return any(not bundle.rivals_ended(name, now) for name in exposed)
+        if not exposed:
+            return False
+        if bundle.rivals_end is None or now <= bundle.rivals_end + CLOCK_SKEW_BOUND:
+            return True
+        # A host's own earlier grants to the owner compete with nothing.
+        return any(not bundle.rivals_ended(name, now) for name in exposed - {bundle.owner})
 
     def _split_held(self, bundle: Bundle, now: float) -> Bundle | None:
         """Serve the slices for which the standby has held a step-1 grant from the standby.
--- a/radishshunt/planner.py
+++ b/radishshunt/planner.py
@@ -107,10 +107,7 @@
     row = view.rows[group]
     if not row.slices:
         return None
-    capacity = {
-        g: sum(view.usable(name) for name in _members(view, other))
-        for g, other in view.rows_of(group.service).items()
-    }
+    capacity = {g: _capacity(view, other) for g, other in view.rows_of(group.service).items()}
     total, targets = sum(len(view.rows[g].slices) for g in capacity), sum(capacity.values())
     takers = [g for g in capacity if g != group and capacity[g]]
     if not takers or not targets:
@@ -141,6 +138,16 @@
     return {name: held for name, held in sorted(pending.items()) if held}
 
 
+def former_hosts(*rows: GroupRow) -> tuple[HostRef, ...]:
+    """Return all runs of hosts that may have issued grants up to the given rows."""
+    runs = {run for row in rows for run in row.former_hosts}
+    for row in rows:
+        runs.add(row.dispatcher)
+        if row.standby_dispatcher is not None:
+            runs.add(row.standby_dispatcher)
+    return tuple(sorted(runs, key=lambda run: (run.host, run.incarnation)))
+
+
 def merge_unfenced(*parts: Mapping[str, Iterable[int]]) -> dict[str, tuple[int, ...]]:
     """Return the union of several maps from targets to slices."""
     merged: dict[str, set[int]] = {}
@@ -178,6 +185,18 @@
     return (*targets, *(n for n in former if n in owners and n not in targets))
 
 
+def _capacity(view: View, row: GroupRow) -> int:
+    """Return how many targets of a group take work, 0 if none of them answers.
+
+    A lost target counts as long as others answer, since it often returns within seconds, and its
+    slices would then move between groups twice.
+    """
+    members = _members(view, row)
+    if not any(view.usable(name) for name in members):
+        return 0
+    return sum(view.catalog.takes_work(name) for name in members)
+
+
 def _members(view: View, row: GroupRow) -> tuple[str, ...]:
     """Return a group's listed targets and the new ones that join it."""
     listed = view.catalog.targets
--- a/radishshunt/planning.py
+++ b/radishshunt/planning.py
@@ -12,6 +12,7 @@
 from radishshunt.logs import decision
 from radishshunt.planner import (
     View,
+    former_hosts,
     former_targets,
     merge_unfenced,
     plan_exchange,
@@ -86,6 +87,8 @@
             row = self._directory.rows[group]
             following = plan_group(view, group) or replace(row, generation=row.generation + 2)
             former = former_targets(row, following.slices)
+            hosts_before = former_hosts(row)
+            following = replace(following, former_hosts=hosts_before)
             await self._write([replace(following, unfenced=merge_unfenced(former))])
         for group, dispatcher in list(self._dispatch.groups.items()):
             await self._plan_own(view, group, dispatcher)
@@ -97,6 +100,10 @@
         grants = dispatcher.grants
         if not grants.knows_losses:
             return
+        if dispatcher.generation > row.generation and not grants.all_begun():
+            # Slices whose targets can't be fenced wait for the end of the former dispatcher. A new
+            # row would only make them wait for this host's generation, too.
+            return
         own = replace(
             view,
             rows=dict(self._directory.rows),
@@ -148,7 +155,9 @@
                 # The dispatcher of the group that takes the slices finds out what it can drop.
                 taker = self._directory.rows[following.group]
                 others = former_targets(taker, taker.slices)
-            result.append(replace(following, unfenced=merge_unfenced(known, others)))
+            unfenced = merge_unfenced(known, others)
+            before = former_hosts(row, self._directory.rows[following.group]) if unfenced else ()
+            result.append(replace(following, unfenced=unfenced, former_hosts=before))
         return result
 
     def _broken_groups(self, lowest: bool) -> list[GroupId]:
--- a/tests/measure/failover.py
+++ b/tests/measure/failover.py
@@ -23,6 +23,8 @@
 SETTLE_SECONDS = 3.0
 AFTER_SECONDS = 7.0
 PERIOD_SECONDS = 0.1
+# Time until the platform's host list no longer names a lost host.
+LIST_LAG_SECONDS = 1.0
 REQUEST_TIMEOUT_SECONDS = 1.0
 
 
@@ -48,8 +50,11 @@
 
     def unserved(self, key: str) -> float:
         """Return the seconds from the loss to the next answer, infinite if there was none."""
-        answers = [p.ended_at for p in self.probes[key] if p.status == 200]
-        later = [at for at in answers if at > self.lost_at]
+        later = [
+            probe.ended_at
+            for probe in self.probes[key]
+            if probe.status == 200 and probe.started_at >= self.lost_at
+        ]
         return min(later, default=float("inf")) - self.lost_at
 
     def longest_gap(self, key: str) -> float:
@@ -94,9 +99,16 @@
 
 
 async def observe(
-    system: System, keys: list[str], hosts: list[str], lose: Callable[[], None]
+    system: System,
+    keys: list[str],
+    hosts: list[str],
+    lose: Callable[[], None],
+    later: Callable[[], None] | None,
 ) -> Record:
-    """Send requests while something is lost."""
+    """Send requests while something is lost.
+
+    :param later: Called once the platform's host list has caught up.
+    """
     record = Record()
     with trio.move_on_after(SETTLE_SECONDS + AFTER_SECONDS):
         async with trio.open_nursery() as nursery:
@@ -106,6 +118,9 @@
             await trio.sleep(SETTLE_SECONDS)
             record.lost_at = trio.current_time()
             lose()
+            await trio.sleep(LIST_LAG_SECONDS)
+            if later is not None:
+                later()
     return record
 
 
@@ -142,6 +157,14 @@
         if platform_down:
             system.set_platform_faults(down=True)
 
+        def delist() -> None:
+            entries = [
+                {"host": name, "domain": c["host"]["domain"], "address": c["peers"]["advertise"]}
+                for name, c in system.hosts.items()
+                if name != host
+            ]
+            system.client.put(system.platform_url("/emulator/hosts"), json={"hosts": entries})
+
         def lose() -> None:
             if scenario in ("target", "both", "restart"):
                 system.kill(target)
@@ -155,7 +178,8 @@
         survivors = [name for name in system.hosts if name != host or scenario == "restart"]
         if scenario == "target":
             survivors = list(system.hosts)
-        record = trio.run(observe, system, keys, survivors, lose)
+        later = delist if scenario in ("dispatcher", "both") else None
+        record = trio.run(observe, system, keys, survivors, lose, later)
         failed = [
             p
             for key in keys
