Send rows along a tree, and compare views at a bounded rate

Takeovers and releases still go to all peers. A host without recent contact asks one peer after another. Heartbeats between peers are 3 s apart.

--- a/radishshunt/documents.py
+++ b/radishshunt/documents.py
@@ -6,6 +6,8 @@
 import zlib
 from typing import TYPE_CHECKING
 
+from xxhash import xxh3_64_intdigest
+
 from radishshunt.errors import ProtocolError
 from radishshunt.model import GroupId, GroupRow
 from radishshunt.release.note import ReleaseNote
@@ -26,6 +28,9 @@
 NOTES_KEPT = 64
 NOTES_KEPT_BYTES = 1024 * 1024
 ROWS_PER_FETCH = 64
+# Two hosts compare the digests of this many parts of their rows, and then list only those parts
+# that differ. While rows change all the time, some always do.
+BUCKETS = 64
 
 
 def pack(data: bytes) -> bytes:
@@ -66,6 +71,16 @@
     return GroupId(service, int(number))
 
 
+def bucket_of(name: str) -> int:
+    """Return the part of the rows that a row belongs to."""
+    return xxh3_64_intdigest(name.encode()) % BUCKETS
+
+
+def pack_rows(rows: Iterable[GroupRow]) -> bytes:
+    """Return rows in the form that :func:`read_rows` reads."""
+    return pack(json.dumps([[row.version, row.to_json().decode()] for row in rows]).encode())
+
+
 class Documents:
     """Gives documents out to peers."""
 
@@ -75,6 +90,7 @@
         self._notes: dict[int, bytes] = {}
         # The last document in parts, and what it was made from.
         self._parts: tuple[str, int, list[bytes]] = ("", 0, [])
+        self._digests: tuple[int, list[int]] | None = None
         self.loaded = False
 
     def keep_note(self, note: ReleaseNote) -> None:
@@ -96,7 +112,9 @@
         elif kind == "members":
             return self._part(name, max(1, self._members.digest >> 1), rest)
         elif kind == "index":
-            content = self._index()
+            content = self._index(rest)
+        elif kind == "digests":
+            content = json.dumps(self.digests()).encode()
         elif kind == "rows":
             content = self._rows(rest.split(","))
         elif kind == "row":
@@ -128,8 +146,23 @@
             return Document(name, 0, b"")
         return Document(f"{kind}/{index}/{len(parts)}", version, parts[index])
 
-    def _index(self) -> bytes:
-        rows = {row_name(g): row.generation for g, row in self._directory.rows.items()}
+    def digests(self) -> list[int]:
+        """Return the digests of the parts of the rows known here."""
+        if self._digests is None or self._digests[0] != self._directory.rows_digest:
+            digests = [0] * BUCKETS
+            for group, row in self._directory.rows.items():
+                name = row_name(group)
+                digests[bucket_of(name)] ^= xxh3_64_intdigest(f"{name}/{row.generation}".encode())
+            self._digests = (self._directory.rows_digest, digests)
+        return self._digests[1]
+
+    def _index(self, buckets: str) -> bytes:
+        wanted = {int(number) for number in buckets.split(",") if number.isdigit()}
+        rows = {
+            name: row.generation
+            for group, row in self._directory.rows.items()
+            if bucket_of(name := row_name(group)) in wanted or not buckets
+        }
         return pack(json.dumps({"loaded": self.loaded, "rows": rows}).encode())
 
     def _rows(self, names: Iterable[str]) -> bytes:
--- a/radishshunt/emulator/simulation.py
+++ b/radishshunt/emulator/simulation.py
@@ -34,14 +34,16 @@
 class Traffic:
     """What a host has sent.
 
-    :ivar kinds: Messages by kind.
     :ivar received: Bytes that were sent to the host.
+    :ivar kinds: Messages by kind.
+    :ivar kind_bytes: Bytes by kind.
     """
 
     messages: int = 0
     bytes: int = 0
     received: int = 0
     kinds: Counter[str] = field(default_factory=Counter)
+    kind_bytes: Counter[str] = field(default_factory=Counter)
 
     def total(self) -> int:
         """Return the bytes in both directions."""
@@ -88,6 +90,7 @@
         traffic.messages += 1
         traffic.bytes += len(data)
         traffic.kinds[type(msg).__name__] += 1
+        traffic.kind_bytes[type(msg).__name__] += len(data)
         self.traffic[receiver].received += len(data)
         await self._wait_running(sender)
         await trio.sleep(self.latency_seconds)
--- a/radishshunt/experiment/spread.py
+++ b/radishshunt/experiment/spread.py
@@ -13,7 +13,6 @@
 import math
 import statistics
 import time
-import tracemalloc
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING
 
@@ -21,30 +20,33 @@
 from trio.testing import MockClock
 
 from radishshunt.clock import TrioClock
-from radishshunt.documents import PART_BYTES, pack
 from radishshunt.emulator.simulation import Simulation
-from radishshunt.members import Members, State
-from radishshunt.model import GroupId, GroupRow, HostInfo, HostRef, SliceAssignment
-from radishshunt.peers import PeerNetwork
+from radishshunt.experiment.views import (
+    EXPECTED_DOMAINS,
+    TARGET_COUNTS,
+    CatalogPoint,
+    measure_catalog,
+    measure_members,
+)
+from radishshunt.model import GroupId, GroupRow, HostRef, SliceAssignment
 from radishshunt.platform import Transaction
 from radishshunt.platform.transactions import commit
 from radishshunt.release.acceptance import submit
-from radishshunt.release.catalog import Catalog, DomainState, ServiceSpec, TargetSpec
-from radishshunt.release.note import ReleaseNote, apply_note
-from radishshunt.topology import topology_of
-from radishshunt.wire.messages import GroupState, Member
+from radishshunt.release.note import ReleaseNote
+from radishshunt.wire.messages import GroupState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections import Counter
 
 SERVICE = "permits"
 TARGETS = 300
 HOST_COUNTS = (10, 100, 1000)
-TARGET_COUNTS = (1_000, 10_000, 100_000)
 EXPECTED_HOSTS = 15_000
-EXPECTED_DOMAINS = 36
 NOTES_PER_DAY = 14_000
 ROW_WRITES_PER_SECOND = 5.0
+ROW_SECONDS = 10.0
+# One host plans moves, and others replace rows of groups that they dispatch.
+ROW_WRITERS = 3
 DAY_SECONDS = 86_400
 STEADY_SECONDS = 10.0
 RELEASES = 3
@@ -64,7 +66,7 @@
     :param in_force_without_submitter: The same if the submitter dies once the note is accepted.
     :param release_messages: Messages that a release adds for each host, sent, the largest.
     :param release_bytes: Bytes that a release adds for each host, both directions, the mean.
-    :param row_bytes: The same for a changed row.
+    :param row_bytes: The same for a changed row, at :data:`ROW_WRITES_PER_SECOND`.
     :param steady_bytes: Bytes a second for each host without changes, both directions, the mean.
     :param steady_bytes_max: The same, for the host with most.
     :param core: Share of a core for each host, with the simulation's own work.
@@ -88,28 +90,6 @@
     outage_calls: float
 
 
-@dataclass(frozen=True, slots=True)
-class CatalogPoint:
-    """Figures for one number of targets.
-
-    :param held_bytes: Memory that a catalog holds.
-    :param peak_bytes: Largest memory in use while it is read from its JSON form.
-    :param packed_bytes: Size on the wire.
-    :param parts: Frames that carry it.
-    :param read_ms: Processor time to read the JSON form, in milliseconds.
-    :param note_ms: Processor time to apply a note that changes one target.
-    """
-
-    targets: int
-    held_bytes: int
-    peak_bytes: int
-    json_bytes: int
-    packed_bytes: int
-    parts: int
-    read_ms: float
-    note_ms: float
-
-
 @dataclass(frozen=True, slots=True)
 class Line:
     """A figure of the estimate at the expected size."""
@@ -157,8 +137,8 @@
             core = (time.process_time() - started) / STEADY_SECONDS / self._hosts
             reads = (sim.table.attempts - calls) / STEADY_SECONDS
             rate = statistics.mean(steady) / STEADY_SECONDS
-            in_force, messages, size = await self._releases(rate)
-            row_bytes = await self._row(rate)
+            in_force, messages, size = await self._releases()
+            row_bytes = await self._rows()
             alone = await self._release_without_submitter()
             sim.table.down = True
             await trio.sleep(20.0)
@@ -213,36 +193,37 @@
         with trio.fail_after(60.0):
             return await self.sim.wait_for_version(note.version) - started_at
 
-    async def _releases(self, rate: float) -> tuple[float, int, float]:
+    async def _releases(self) -> tuple[float, int, float]:
         """Return the time in force, and messages and bytes for each release and host."""
         times = []
-        fabric = self.sim.fabric
-        sent = {name: _release_messages(fabric.traffic[name].kinds) for name in fabric.traffic}
-        before = self._total()
-        started_at = trio.current_time()
+        traffic = self.sim.fabric.traffic
+        sent = {name: _news(item.kinds) for name, item in traffic.items()}
+        before = self._news_bytes()
         for number in range(RELEASES):
             times.append(await self._release(_change(number + 1), (number * 7) % self._hosts))
             await trio.sleep(2.0)
-        extra = self._total() - before - rate * self._hosts * (trio.current_time() - started_at)
-        messages = max(
-            _release_messages(traffic.kinds) - sent[name]
-            for name, traffic in fabric.traffic.items()
-        )
-        return max(times), math.ceil(messages / RELEASES), extra / RELEASES / self._hosts
+        messages = max(_news(item.kinds) - sent[name] for name, item in traffic.items())
+        size = (self._news_bytes() - before) / RELEASES / self._hosts
+        return max(times), math.ceil(messages / RELEASES), size
 
-    async def _row(self, rate: float) -> float:
-        """Return the bytes that a changed row adds for each host."""
+    async def _rows(self) -> float:
+        """Return the bytes that a changed row adds for each host, while rows change steadily."""
         hosts = list(self.sim.hosts.values())
-        before = self._total()
-        started_at = trio.current_time()
-        for number in range(RELEASES):
-            row = _row(number, 4, hosts[number].me.host)
-            key = row.group.row_key
-            await commit(self.sim.table, Transaction({}, {key: row.to_json()}))
-            hosts[0].sync.take_row(row)
-            await trio.sleep(3.0)
-        extra = self._total() - before - rate * self._hosts * (trio.current_time() - started_at)
-        return extra / RELEASES / self._hosts
+        before = self._news_bytes()
+        count = int(ROW_WRITES_PER_SECOND * ROW_SECONDS)
+        for number in range(count):
+            writer = hosts[number % min(ROW_WRITERS, len(hosts))]
+            group = number % len(hosts)
+            row = _row(group, 4 + 2 * (number // len(hosts)), hosts[group].me.host)
+            await commit(self.sim.table, Transaction({}, {row.group.row_key: row.to_json()}))
+            writer.sync.take_row(row)
+            await trio.sleep(1.0 / ROW_WRITES_PER_SECOND)
+        await trio.sleep(3.0)
+        size = (self._news_bytes() - before) / count / self._hosts
+        digests = {host.directory.rows_digest for host in hosts}
+        if len(digests) > 1:
+            print(f"rows differ on {len(digests)} groups of hosts 3 s after the last change")
+        return size
 
     async def _release_without_submitter(self) -> float:
         """Accept a note through a host that tells nobody of it."""
@@ -252,8 +233,9 @@
         with trio.fail_after(60.0):
             return await self.sim.wait_for_version(note.version) - started_at
 
-    def _total(self) -> int:
-        return sum(traffic.total() for traffic in self.sim.fabric.traffic.values())
+    def _news_bytes(self) -> int:
+        """Return the bytes of news, each counted where it is sent and where it is received."""
+        return 2 * sum(_news(item.kind_bytes) for item in self.sim.fabric.traffic.values())
 
     async def _traffic(self, seconds: float) -> list[int]:
         fabric = self.sim.fabric
@@ -262,7 +244,8 @@
         return [traffic.total() - before[name] for name, traffic in fabric.traffic.items()]
 
 
-def _release_messages(kinds: dict[str, int]) -> int:
+def _news(kinds: Counter[str]) -> int:
+    """Return the part of a count by kind of message that no steady system has."""
     return sum(kinds[kind] for kind in ("Announce", "Acknowledge", "Fetch", "Document"))
 
 
@@ -308,82 +291,6 @@
     )
 
 
-def measure_catalog(targets: int) -> CatalogPoint:
-    """Measure a catalog of a number of targets."""
-    catalog = Catalog(
-        1,
-        "0" * 64,
-        {f"domain-{i:02d}": DomainState.IN for i in range(EXPECTED_DOMAINS)},
-        {SERVICE: ServiceSpec(SERVICE, keyed=True)},
-        {
-            f"{SERVICE}-{i:06d}": TargetSpec(
-                f"{SERVICE}-{i:06d}",
-                SERVICE,
-                f"10.{i >> 16}.{i >> 8 & 255}.{i & 255}:9000",
-                f"domain-{i % EXPECTED_DOMAINS:02d}",
-            )
-            for i in range(targets)
-        },
-    )
-    data = catalog.to_json()
-    packed = pack(data)
-    held, peak = _memory(lambda: Catalog.from_json(data))
-    note = ReleaseNote.model_validate(
-        {"predecessor": 1, "changed": {"targets": {f"{SERVICE}-{0:06d}": {"slots": 4}}}}
-    )
-    return CatalogPoint(
-        targets=targets,
-        held_bytes=held,
-        peak_bytes=peak,
-        json_bytes=len(data),
-        packed_bytes=len(packed),
-        parts=math.ceil(len(packed) / PART_BYTES),
-        read_ms=_cpu_ms(lambda: Catalog.from_json(data)),
-        note_ms=_cpu_ms(lambda: apply_note(catalog, note)),
-    )
-
-
-def measure_members(hosts: int) -> tuple[int, float]:
-    """Return memory and milliseconds of processor time for the view of a number of hosts."""
-    domains = {f"host-{i:05d}": f"domain-{i % EXPECTED_DOMAINS:02d}" for i in range(hosts)}
-
-    def build() -> object:
-        me = HostInfo("host-00000", "domain-00", "10.0.0.0:8082", 1)
-        network = PeerNetwork(me, me.address)
-        members = Members(me, network, TrioClock())
-        for i, (host, domain) in enumerate(domains.items()):
-            address = f"10.{i >> 16}.{i >> 8 & 255}.{i & 255}:8082"
-            members._accept(Member(host, i + 1, domain, address, State.ALIVE, 1e9 + i))
-        return members, network, topology_of(domains)
-
-    held, _ = trio.run(_in_trio, build)
-    return held, _cpu_ms(lambda: topology_of({**domains, f"new-{time.perf_counter_ns()}": "d"}))
-
-
-async def _in_trio(build: Callable[[], object]) -> tuple[int, int]:
-    return _memory(build)
-
-
-def _memory(build: Callable[[], object]) -> tuple[int, int]:
-    """Return the memory that an object holds, and the largest while it is built."""
-    gc.collect()
-    tracemalloc.start()
-    built = build()
-    held, peak = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    del built
-    return held, peak
-
-
-def _cpu_ms(operation: Callable[[], object]) -> float:
-    best = math.inf
-    for _ in range(3):
-        started = time.process_time()
-        operation()
-        best = min(best, time.process_time() - started)
-    return best * 1000
-
-
 def estimate(
     spreads: list[SpreadPoint], catalogs: list[CatalogPoint], members_bytes: int
 ) -> list[Line]:
--- a/radishshunt/members.py
+++ b/radishshunt/members.py
@@ -79,6 +79,11 @@
         """Hosts that this one exchanges heartbeats with."""
         return self.topology.peers_of(self.me.host)
 
+    @property
+    def tree(self) -> tuple[str, ...]:
+        """Hosts that this one passes news of rows on to."""
+        return self.topology.tree_of(self.me.host)
+
     @property
     def is_reader(self) -> bool:
         """Whether this host reads the platform for its domain."""
@@ -97,6 +102,16 @@
         """Return what is known of a host."""
         return self._records.get(host)
 
+    def exists(self, host: str) -> bool:
+        """Return whether a host has been heard by any, and its loss has not been confirmed."""
+        known = self._records.get(host)
+        return known is not None and known.state in (State.ALIVE, State.LEAVING)
+
+    def is_gone(self, host: str) -> bool:
+        """Return whether a host is unknown or has left the platform's list."""
+        known = self._records.get(host)
+        return known is None or known.state == State.GONE
+
     def declare(self, *, leaving: bool = False) -> None:
         """Tell the other hosts of this one."""
         known = self._records.get(self.me.host)
--- a/radishshunt/membership.py
+++ b/radishshunt/membership.py
@@ -35,8 +35,13 @@
 # With more hosts than a full mesh takes, heartbeats of about 220 bytes go to eight peers at this
 # interval, and pulses of about 70 bytes at the short one to hosts that share a group; more would
 # exceed 4 KB/s. News does not wait for the next heartbeat.
-SLOW_INTERVAL_SECONDS = 2.0
-SLOW_LOST_AFTER_SECONDS = 5.0
+SLOW_INTERVAL_SECONDS = 3.0
+SLOW_LOST_AFTER_SECONDS = 7.5
+# In a full mesh, a loss is confirmed and told to the others after this time.
+REPORT_AFTER_SECONDS = 2.5
+# Without contact for this long, a host asks one peer after another, so that a host of a large
+# system does not count as isolated between two heartbeats.
+CONTACT_AFTER_SECONDS = 0.8
 # A host that was heard this recently counts as live without a probe of its own.
 FRESH_SECONDS = 0.3
 # Hosts asked about another one, and how many of them have to report no contact.
@@ -81,8 +86,13 @@
         self._answered_at: dict[str, float] = {}
         self._echo: dict[str, float] = {}
         self._told: dict[str, tuple[float, tuple]] = {}
+        self._by_host: tuple[dict, ...] = (
+            *(self._heard_at, self._asked_at, self._waiting_since, self._last),
+            *(self._answered_at, self._echo, self._told),
+        )
         self._beating: dict[str, trio.CancelScope] = {}
         self._checking: set[str] = set()
+        self._turn = 0
         self._clocks = ClockWatch()
         network.register(Heartbeat, self._answer)
         network.register(Pulse, self._answer_pulse)
@@ -95,7 +105,7 @@
     def answered_at(self, host: str) -> float:
         """Return when this host last sent what another one has confirmed to have received.
 
-        :return: Seconds since the Unix epoch; 0 for never.
+        :return: Seconds since the Unix epoch, 0 for never.
         """
         return self._answered_at.get(host, 0.0)
 
@@ -112,7 +122,7 @@
             return True
         if host in self._beating:
             return False
-        return self._exists(host)
+        return self.members.exists(host)
 
     def last_heartbeat(self, host: str) -> Heartbeat | None:
         """Return the last heartbeat of a host, or ``None`` if there was none."""
@@ -168,6 +178,7 @@
                 while True:
                     self._start_and_stop(nursery)
                     self._check_silent(nursery)
+                    self._keep_contact(nursery)
                     await trio.sleep(HEARTBEAT_INTERVAL_SECONDS)
         finally:
             self._beating.clear()
@@ -186,25 +197,19 @@
             self._forget(host)
 
     def _forget(self, host: str) -> None:
-        for table in (
-            self._heard_at,
-            self._asked_at,
-            self._waiting_since,
-            self._last,
-            self._answered_at,
-            self._echo,
-            self._told,
-        ):
+        for table in self._by_host:
             table.pop(host, None)
         self._clocks.forget(host)
 
     def _check_silent(self, nursery: trio.Nursery) -> None:
         """Have the loss of silent peers confirmed, and tell the hosts that don't see it."""
         now = self._clock.now()
+        large = not self.members.topology.full_mesh
+        limit = SLOW_LOST_AFTER_SECONDS if large else REPORT_AFTER_SECONDS
         for host in self.members.peers:
             since = max(self.heard_at(host), self._waiting_since.get(host, now))
-            silent = now - since > SLOW_LOST_AFTER_SECONDS
-            if silent and host not in self._checking and self._exists(host):
+            silent = now - since > limit
+            if silent and host not in self._checking and self.members.exists(host):
                 self._checking.add(host)
                 nursery.start_soon(self._check, host)
 
@@ -218,6 +223,14 @@
         finally:
             self._checking.discard(host)
 
+    def _keep_contact(self, nursery: trio.Nursery) -> None:
+        peers = [h for h in self.members.peers if h in self._beating]
+        if self._contact is None or not peers or self.members.topology.full_mesh:
+            return
+        if self._clock.now() - self._contact.last_at() > CONTACT_AFTER_SECONDS:
+            self._turn += 1
+            nursery.start_soon(self._send_pulse, peers[self._turn % len(peers)])
+
     def _is_fast(self, host: str) -> bool:
         return self.members.topology.full_mesh or host in self._pairs()
 
@@ -255,7 +268,7 @@
         if self.members.topology.full_mesh or self.members.has_news(host):
             return True
         told_at, content = self._told.get(host, (0.0, ()))
-        if content != _content(self._describe()) and self._is_fast(host):
+        if content != self._describe().urgent() and self._is_fast(host):
             return True
         since = self._clock.now() - told_at
         if self._peer_asks(host, SLOW_INTERVAL_SECONDS):
@@ -292,7 +305,7 @@
             answer = await self._network.call(host, pulse, HEARTBEAT_TIMEOUT_SECONDS)
         except PeerUnavailable:
             return False
-        if isinstance(answer, Pulse) and not self._is_gone(host):
+        if isinstance(answer, Pulse) and not self.members.is_gone(host):
             self._confirm(host, pulse.sent_at, answer.sent_at)
             self._receive_pulse(host, answer, pulse.sent_at)
         return True
@@ -311,7 +324,7 @@
     async def _answer_pulse(self, conn: PeerConnection, stream: Stream, msg: Message) -> None:
         assert isinstance(msg, Pulse)
         host = conn.peer_name
-        if not self._is_gone(host):
+        if not self.members.is_gone(host):
             self._asked_at[host] = self._clock.now()
             self._take_echo(host, msg.echo)
             contact_at = min(msg.sent_at, self._clock.now()) - CLOCK_SKEW_BOUND
@@ -330,13 +343,9 @@
         version = self._describe().catalog_version
         return Pulse(self._clock.now(), self._echo.get(host, 0.0), version)
 
-    def _is_gone(self, host: str) -> bool:
-        known = self.members.get(host)
-        return known is None or known.state == State.GONE
-
     def _own_beat(self, host: str) -> Heartbeat:
         beat = self._describe()
-        self._told[host] = (self._clock.now(), _content(beat))
+        self._told[host] = (self._clock.now(), beat.urgent())
         beat.echo = self._echo.get(host, 0.0)
         beat.members = self.members.take_news(host)
         beat.members_digest = self.members.digest
@@ -367,13 +376,11 @@
         """Return other hosts that are likely to have contact with a host, its peers first."""
         me = self._network.me.host
         candidates = (*self.members.topology.peers_of(host), *self.members.peers)
-        others = [h for h in dict.fromkeys(candidates) if h not in (me, host) and self._exists(h)]
+        others = [
+            h for h in dict.fromkeys(candidates) if h not in (me, host) and self.members.exists(h)
+        ]
         return sorted(others, key=lambda h: not self.is_live(h))[:PROBED_HOSTS]
 
-    def _exists(self, host: str) -> bool:
-        known = self.members.get(host)
-        return known is not None and known.state in (State.ALIVE, State.LEAVING)
-
     async def _answer_probe(self, _conn: PeerConnection, stream: Stream, msg: Message) -> None:
         assert isinstance(msg, Probe)
         host = msg.host
@@ -386,10 +393,3 @@
                     await self._call(host)
             heard_at = self.heard_at(host)
         await stream.send(ProbeAnswer(heard_at))
-
-
-def _content(beat: Heartbeat) -> tuple:
-    """Return the part of a heartbeat that a host sharing a group has to know at once."""
-    groups = tuple((g.service, g.group, g.generation) for g in beat.groups)
-    suspects = tuple((s.fingerprint, s.deaths) for s in beat.suspects)
-    return beat.catalog_version, beat.leaving, groups, suspects
--- a/radishshunt/platform_reader.py
+++ b/radishshunt/platform_reader.py
@@ -97,7 +97,7 @@
         await self._take_release(current)
         for row in found.groups.values():
             if row.version:
-                self._sync.take_row(GroupRow.from_json(row.value, row.version))
+                self._sync.take_row(GroupRow.from_json(row.value, row.version), from_platform=True)
         if found.complete:
             self._sync.mark_loaded()
             self._scan_at = started_at + SCAN_INTERVAL_SECONDS * self._rng.uniform(1.0, 1.2)
@@ -111,7 +111,7 @@
         key = group.row_key
         row = (await self._platform.table.read([key]))[key]
         if row.version:
-            self._sync.take_row(GroupRow.from_json(row.value, row.version))
+            self._sync.take_row(GroupRow.from_json(row.value, row.version), from_platform=True)
 
     async def _read_regularly(self) -> None:
         large = not self._members.topology.full_mesh
--- /dev/null
+++ b/radishshunt/seeds.py
@@ -0,0 +1,41 @@
+"""Finding a first peer at the addresses in the settings."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import trio
+
+from radishshunt.errors import PeerUnavailable
+from radishshunt.util.backoff import Backoff
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from radishshunt.peers import PeerNetwork
+
+logger = logging.getLogger(__name__)
+
+FIRST_PAUSE_SECONDS = 1.0
+LARGEST_PAUSE_SECONDS = 8.0
+
+
+async def find_first_peer(network: PeerNetwork, seeds: Sequence[str]) -> None:
+    """Ask the seeds for their names while no other host is known, until cancelled.
+
+    :param seeds: ``ip:port`` of peers.
+    """
+    backoff = Backoff(FIRST_PAUSE_SECONDS, LARGEST_PAUSE_SECONDS)
+    while True:
+        if network.hosts:
+            backoff.reset()
+        else:
+            for address in seeds:
+                if address == network.me.address:
+                    continue
+                try:
+                    await network.learn(address)
+                except PeerUnavailable as exc:
+                    logger.debug("seed %s: %s", address, exc)
+        await trio.sleep(backoff.next() if seeds else LARGEST_PAUSE_SECONDS)
--- a/radishshunt/sync.py
+++ b/radishshunt/sync.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from radishshunt.announcements import ANNOUNCEMENT, Announcements
+from radishshunt.announcements import NEWS, Announcements
 from radishshunt.contact import Contact
 from radishshunt.directory import Dispatcher
 from radishshunt.documents import (
@@ -29,7 +29,7 @@
 from radishshunt.platform_reader import PlatformReader
 from radishshunt.release.catalog import Catalog
 from radishshunt.release.note import apply_accepted
-from radishshunt.util.backoff import Backoff
+from radishshunt.seeds import find_first_peer
 from radishshunt.wire.messages import Acknowledge, Announce, Document, Fetch, Heartbeat
 
 if TYPE_CHECKING:
@@ -48,12 +48,12 @@
 FETCH_TIMEOUT_SECONDS = 1.0
 FETCH_TASKS = 4
 FETCH_QUEUE = 256
-# Two views differ for a moment after every change; a difference that lasts longer means that news
-# was lost, and the whole index is compared. The time doubles for a peer that has nothing newer.
+# Two views differ for a moment after every change; a difference that lasts longer can mean that
+# news was lost, and the views are compared. While rows change all the time, views differ all the
+# time, so the comparisons have a rate of their own, whatever the number of peers.
 DIFFERENCE_SECONDS = 2.0
-LARGEST_DIFFERENCE_SECONDS = 64.0
-SEED_INTERVAL_SECONDS = 1.0
-LARGEST_SEED_INTERVAL_SECONDS = 8.0
+REPAIR_SECONDS = 2.0
+REPAIR_LARGE_SECONDS = 8.0
 # Rows of services that the release in force does not list, kept in case that it is the older one.
 EARLY_ROWS = 10_000
 RELEASE, INDEX, MEMBERS, ROWS = "release", "index", "members", "rows"
@@ -94,7 +94,7 @@
         self._wanted_rows: dict[str, dict[str, int]] = {}
         self._early_rows: dict[GroupId, GroupRow] = {}
         self._differs_since: dict[tuple[str, str], float] = {}
-        self._patience: dict[tuple[str, str], float] = {}
+        self._repaired_at: dict[str, float] = {}
         # Several peers tell of one change; the fetches run one by one, so that the first of them
         # makes the others unnecessary.
         self._release_lock = trio.Lock()
@@ -148,7 +148,7 @@
             if group.service in catalog.services:
                 del self._early_rows[group]
                 self.take_row(row)
-        self._announcements.add(None, peer)
+        self._announcements.add_release(peer)
 
     def take_notes(self, notes: Iterable[ReleaseNote], source: str, peer: str = "") -> None:
         """Put accepted notes into force, oldest first, that follow the catalog in force."""
@@ -160,18 +160,26 @@
         if catalog.version > self._directory.catalog.version:
             self.take_catalog(catalog, source, peer=peer)
 
-    def take_row(self, row: GroupRow, peer: str = "") -> None:
+    def take_row(self, row: GroupRow, peer: str = "", *, from_platform: bool = False) -> None:
         """Take a group's row if it is newer.
 
         :param peer: Peer that gave it, empty for the platform and for this host.
         """
+        name = row_name(row.group)
         if row.group.service not in self._directory.catalog.services:
-            if len(self._early_rows) < EARLY_ROWS:
-                known = self._early_rows.get(row.group)
-                if known is None or known.generation < row.generation:
-                    self._early_rows[row.group] = row
-        elif self._directory.update_row(row):
-            self._announcements.add(row_name(row.group), peer)
+            known = self._early_rows.get(row.group)
+            if len(self._early_rows) < EARLY_ROWS and (
+                known is None or known.generation < row.generation
+            ):
+                self._early_rows[row.group] = row
+            return
+        newer = self._directory.update_row(row)
+        if from_platform:
+            if newer:
+                self._announcements.add_row_later(name, row.generation)
+        elif self._directory.rows[row.group].generation == row.generation:
+            # Also if it is known from the platform: hosts further down the tree may not be readers.
+            self._announcements.add_row(name, row.generation, peer)
 
     async def announce_row(self, row: GroupRow) -> None:
         """Take a row that this host has written, and tell the peers of it."""
@@ -185,7 +193,7 @@
 
     async def announce_dispatcher(self, group: GroupId) -> None:
         """Tell the peers that this host has taken a group over, as its directory says."""
-        self._announcements.add(row_name(group), "")
+        self._announcements.add_dispatcher(row_name(group), "")
         await trio.lowlevel.checkpoint()
 
     async def refresh_row(self, group: GroupId) -> None:
@@ -212,7 +220,7 @@
             for _ in range(FETCH_TASKS):
                 nursery.start_soon(self._run_fetches)
             nursery.start_soon(self._announcements.run)
-            nursery.start_soon(self._run_seeds)
+            nursery.start_soon(find_first_peer, self._network, self._seeds)
 
     async def _run_fetches(self) -> None:
         async for host, what in self._wants:
@@ -225,8 +233,7 @@
                     await self._fetch_index(host)
                 elif what == MEMBERS:
                     content, _ = await self._fetch_parts(host, MEMBERS)
-                    if self.members.merge(read_members(content), host):
-                        self._patience.pop((host, MEMBERS), None)
+                    self.members.merge(read_members(content), host)
                 else:
                     await self._fetch_rows(host)
             except PeerUnavailable as exc:
@@ -255,7 +262,15 @@
             self.take_catalog(catalog, f"peer {host}", peer=host)
 
     async def _fetch_index(self, host: str) -> None:
-        doc = await self._fetch(host, INDEX)
+        name = INDEX
+        if self.loaded:
+            theirs = await self._fetch(host, "digests")
+            pairs = zip(json.loads(theirs.content), self._documents.digests(), strict=True)
+            differing = [str(i) for i, (one, other) in enumerate(pairs) if one != other]
+            if not differing:
+                return
+            name = f"{INDEX}/{','.join(differing)}"
+        doc = await self._fetch(host, name)
         if not doc.content:
             return
         index = json.loads(unpack(doc.content))
@@ -265,7 +280,6 @@
             if generation > self._known_generation(group_of(name))
         }
         if wanted:
-            self._patience.pop((host, INDEX), None)
             self._wanted_rows.setdefault(host, {}).update(wanted)
             while self._wanted_rows.get(host):
                 await self._fetch_rows(host)
@@ -311,38 +325,22 @@
             raise ProtocolError(f"{type(answer).__name__} answers a fetch")
         return answer
 
-    async def _run_seeds(self) -> None:
-        """Look for a first peer at the seeds' addresses while no other host is known."""
-        backoff = Backoff(SEED_INTERVAL_SECONDS, LARGEST_SEED_INTERVAL_SECONDS)
-        while True:
-            if self._network.hosts:
-                backoff.reset()
-            else:
-                for address in self._seeds:
-                    if address == self._network.me.address:
-                        continue
-                    try:
-                        await self._network.learn(address)
-                    except PeerUnavailable as exc:
-                        logger.debug("seed %s: %s", address, exc)
-            await trio.sleep(backoff.next() if self._seeds else LARGEST_SEED_INTERVAL_SECONDS)
-
     def _compare(self, host: str, what: str, equal: bool) -> None:
         """Fetch a peer's view if it has differed from this host's for too long."""
         key = (host, what)
-        if equal:
-            if what == INDEX and not self.loaded and self._directory.rows:
+        now = self._clock.now()
+        if what == INDEX and not self.loaded:
+            if not equal or self._directory.rows:
                 self._want(host, INDEX)
+        elif equal:
             self._differs_since.pop(key, None)
-            self._patience.pop(key, None)
-            return
-        now = self._clock.now()
-        since = self._differs_since.setdefault(key, now)
-        patience = self._patience.get(key, DIFFERENCE_SECONDS)
-        if now - since >= patience or (what == INDEX and not self.loaded):
-            self._differs_since[key] = now
-            self._patience[key] = min(2 * patience, LARGEST_DIFFERENCE_SECONDS)
-            self._want(host, what)
+        elif now - self._differs_since.setdefault(key, now) >= DIFFERENCE_SECONDS:
+            large = not self.members.topology.full_mesh
+            interval = REPAIR_LARGE_SECONDS if large else REPAIR_SECONDS
+            if now - self._repaired_at.get(what, 0.0) >= interval:
+                self._repaired_at[what] = now
+                self._differs_since.pop(key)
+                self._want(host, what)
 
     def _note_dispatcher(
         self, group: GroupId, dispatcher: Dispatcher, generation: int, peer: str
@@ -357,7 +355,7 @@
             known = self._directory.dispatcher_of(group)
             self._directory.update_dispatcher(group, dispatcher)
             if known is None or dispatcher.generation > known.generation:
-                self._announcements.add(row_name(group), peer)
+                self._announcements.add_dispatcher(row_name(group), peer)
 
     def _want_rows(self, host: str, wanted: dict[str, int]) -> None:
         self._wanted_rows.setdefault(host, {}).update(wanted)
@@ -379,19 +377,21 @@
     async def _take_announcement(self, conn: PeerConnection, stream: Stream, msg: Message) -> None:
         assert isinstance(msg, Announce)
         host = conn.peer_name
-        if msg.name == ANNOUNCEMENT:
-            try:
-                news = json.loads(msg.content)
-                for name, (generation, dispatcher, dispatched) in news.items():
+        try:
+            if msg.name == NEWS:
+                for name, (generation, dispatcher, dispatched) in json.loads(msg.content).items():
                     known = Dispatcher(dispatcher, dispatched)
                     self._note_dispatcher(group_of(name), known, generation, host)
-            except (ValueError, TypeError, AttributeError) as exc:
-                logger.warning("cut the connection to %s: malformed news: %r", host, exc)
-                conn.abort()
-                return
-            self._announcements.note_release(host, msg.version)
-            if msg.version > self._directory.catalog.version:
-                self._want(host, RELEASE)
+            elif msg.name == ROWS:
+                for row in read_rows(msg.content):
+                    self.take_row(row, host)
+        except (ProtocolError, ValueError, TypeError, KeyError, AttributeError) as exc:
+            logger.warning("cut the connection to %s: malformed news: %r", host, exc)
+            conn.abort()
+            return
+        self._announcements.note_release(host, msg.version)
+        if msg.version > self._directory.catalog.version:
+            self._want(host, RELEASE)
         await stream.send(Acknowledge(True))
 
     async def _answer_fetch(self, _conn: PeerConnection, stream: Stream, msg: Message) -> None:
--- a/radishshunt/topology.py
+++ b/radishshunt/topology.py
@@ -22,6 +22,9 @@
 # depend on the number of domains only, and the loss of one host does not stop a domain's reads.
 READERS_PER_DOMAIN = 2
 
+# News that is sent whole passes along a tree, so that it reaches each host once.
+TREE_CHILDREN = 4
+
 Hosts = tuple[tuple[str, str], ...]
 
 
@@ -69,6 +72,19 @@
         peers.pop(host, None)
         return tuple(peers)
 
+    def tree_of(self, host: str) -> tuple[str, ...]:
+        """Return a host's parent and children in a tree of all hosts.
+
+        In a full mesh, every other host.
+        """
+        if self.full_mesh or host not in self._domains:
+            return self.peers_of(host)
+        names = self._global[0].names
+        place = self._global[0].places[host]
+        first = TREE_CHILDREN * place + 1
+        parent = names[(place - 1) // TREE_CHILDREN : (place - 1) // TREE_CHILDREN + 1]
+        return (*(parent if place else ()), *names[first : first + TREE_CHILDREN])
+
     def readers(self, domain: str) -> tuple[str, ...]:
         """Return the hosts of a domain that read the platform every second."""
         rings = self._local.get(domain)
--- a/radishshunt/wire/messages.py
+++ b/radishshunt/wire/messages.py
@@ -89,6 +89,12 @@
     members: list[Member] = field(default_factory=list)
     echo: float = 0.0
 
+    def urgent(self) -> tuple:
+        """Return the part that a host sharing a group with the sender has to know at once."""
+        groups = tuple((g.service, g.group, g.generation) for g in self.groups)
+        suspects = tuple((s.fingerprint, s.deaths) for s in self.suspects)
+        return self.catalog_version, self.leaving, groups, suspects
+
 
 @dataclass(slots=True)
 class Pulse:
--- a/tests/test_membership/test_membership_topology.py
+++ b/tests/test_membership/test_membership_topology.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from radishshunt.topology import FULL_MESH_HOSTS, READERS_PER_DOMAIN, topology_of
+from radishshunt.topology import FULL_MESH_HOSTS, READERS_PER_DOMAIN, TREE_CHILDREN, topology_of
 
 MAX_PEERS = 8
 
@@ -38,6 +38,19 @@
     assert max(len(names) for names in peers.values()) <= limit
 
 
+@settings(max_examples=40, deadline=None)
+@given(count=st.integers(FULL_MESH_HOSTS + 1, 400), domains=st.integers(1, 12))
+def test_tree_connects_all_hosts_by_one_path(count: int, domains: int) -> None:
+    """Guards against rows that reach a host twice, or not at all."""
+    hosts = hosts_of(count, domains)
+    topology = topology_of(hosts)
+    tree = {host: set(topology.tree_of(host)) for host in hosts}
+    assert all(host in tree[other] for host in hosts for other in tree[host])
+    assert reachable(tree, "host-00000") == set(hosts)
+    assert sum(len(names) for names in tree.values()) == 2 * (count - 1)
+    assert max(len(names) for names in tree.values()) <= TREE_CHILDREN + 1
+
+
 @settings(max_examples=40, deadline=None)
 @given(seed=st.integers(0, 10_000))
 def test_domain_that_is_cut_off_stays_connected(seed: int) -> None:
--- a/tests/test_sync/test_sync_spread.py
+++ b/tests/test_sync/test_sync_spread.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from radishshunt.clock import TrioClock
+from radishshunt.directory import Dispatcher
 from radishshunt.emulator.simulation import Simulation
 from radishshunt.release.acceptance import load_catalog
 from tests.test_sync.helpers import accept, first_note, row, toggle, write_row
@@ -231,6 +232,54 @@
             assert rows == {0: 4, 1: 6}, host.me.host
 
 
+async def test_rows_reach_hosts_below_a_lost_one(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against hosts that hear of no row since their parent in the tree is gone."""
+    async with running(60, 6) as sim:
+        sim.table.down = True
+        # The tree of 60 hosts has about 14 inner hosts; one of them is not the writer.
+        inner = next(h for h in sim.hosts if len(sim.hosts[h].members.tree) == 5)
+        writer = next(h for h in sim.hosts.values() if len(h.members.tree) == 1)
+        sim.kill(inner)
+        for number in range(20):
+            writer.sync.take_row(row(number, 2))
+        await trio.sleep(15.0)
+        for host in sim.hosts.values():
+            assert host.me.host == inner or len(host.directory.rows) == 20, host.me.host
+
+
+async def test_row_reaches_each_host_of_a_large_system_once(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against rows that every host hears from all of its peers and from all readers."""
+    async with running(60, 6) as sim:
+        for traffic in sim.fabric.traffic.values():
+            traffic.kinds.clear()
+        for number in range(10):
+            written = await write_row(sim, row(number, 2))
+            await sim.hosts["host-00003"].sync.announce_row(written)
+            await trio.sleep(2.0)
+        announced = sum(t.kinds["Announce"] for t in sim.fabric.traffic.values())
+        assert announced == 10 * 59
+
+
+async def test_takeover_is_told_to_all_hosts(autojump_clock: trio.testing.MockClock) -> None:
+    """Guards against a host that forwards to a lost dispatcher until the table names a new one."""
+    async with running(60, 6) as sim:
+        sim.table.down = True
+        writer = sim.hosts["host-00003"]
+        writer.sync.take_row(row(0, 2, "host-00009"))
+        await trio.sleep(3.0)
+        group = next(iter(writer.directory.rows))
+        writer.directory.update_dispatcher(group, Dispatcher("host-00003", 3))
+        await writer.sync.announce_dispatcher(group)
+        await trio.sleep(1.0)
+        for host in sim.hosts.values():
+            known = host.directory.dispatcher_of(group)
+            assert (known.host, known.generation) == ("host-00003", 3), host.me.host
+
+
 async def test_lost_news_of_rows_is_found_by_digest(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
