Refuse new work on a dispatcher without recent contact

Change: a group's dispatcher asks before each sending and refuses as not-run with the reason isolated.

--- a/radishshunt/app.py
+++ b/radishshunt/app.py
@@ -71,6 +71,7 @@
         )
         self.members = Members(self.me, self.network, self.clock)
         self.contact = Contact(self.directory, self.members)
+        self.dispatch.may_send = self.contact.may_send_new_work
         self.membership = Membership(
             self.network,
             self.clock,
--- a/radishshunt/dispatch/group.py
+++ b/radishshunt/dispatch/group.py
@@ -19,7 +19,7 @@
 from radishshunt.targets import TargetClient
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
     from radishshunt.clock import Clock
     from radishshunt.directory import Directory
@@ -67,6 +67,8 @@
         self._refusals = TokenBudget(REFUSAL_RATIO)
         self._load_counter = LoadCounter(clock)
         self._changed = trio.Event()
+        # Returns whether this host's knowledge of withdrawn targets is recent enough at a time.
+        self.may_send: Callable[[float], bool] | None = None
         self._add_targets(row)
         self._grants = GrantKeeper(
             row,
@@ -196,6 +198,8 @@
         deadline = min(req.deadline, serving.deadline)
         if deadline - now < SEND_MARGIN_SECONDS:
             raise NotRun("deadline", "the deadline passed before sending", status=504)
+        if self.may_send is not None and not self.may_send(now):
+            raise NotRun("isolated", "no recent contact with other hosts", retry_after=1.0)
         decision(
             "send",
             service=req.service,
--- a/radishshunt/dispatch/manager.py
+++ b/radishshunt/dispatch/manager.py
@@ -45,6 +45,8 @@
         self.ended: dict[GroupId, tuple[int, float]] = {}
         # Returns the end of the dispatch lease for a row, in seconds since the Unix epoch.
         self.lease_of: Callable[[GroupRow], float] | None = None
+        # Returns whether new work may be sent at a time, in seconds since the Unix epoch.
+        self.may_send: Callable[[float], bool] | None = None
         # Called when a running dispatcher goes on under a new row, with the row before.
         self.on_replaced: Callable[[GroupDispatcher, GroupRow], Awaitable[None]] | None = None
 
@@ -87,6 +89,7 @@
             row, generation, self._directory, self._limits, self._clock, self._local_address
         )
         dispatcher.grants.lease_of = self.lease_of
+        dispatcher.may_send = self.may_send
         self.groups[row.group] = dispatcher
         self._nursery.start_soon(dispatcher.run)
         self._log(dispatcher, reason)
--- /dev/null
+++ b/tests/test_dispatch/test_dispatch_isolation.py
@@ -0,0 +1,76 @@
+"""No new work from a dispatcher that can't know of withdrawn targets."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from radishshunt.app import Host
+from radishshunt.clock import TrioClock
+from radishshunt.contact import ISOLATION_SECONDS
+from radishshunt.directory import Directory
+from radishshunt.dispatch.group import GroupDispatcher
+from radishshunt.errors import NotRun
+from radishshunt.model import GroupId, GroupRow, HostInfo, HostRef, Request, body_of
+from radishshunt.ownership import Serving
+from radishshunt.release.catalog import Catalog
+from radishshunt.release.note import apply_note
+from radishshunt.settings import LimitsSection, Settings
+from tests.test_release.test_release_acceptance import FIRST
+
+if TYPE_CHECKING:
+    import trio.testing
+
+
+def request_until(deadline: float) -> Request:
+    """Return a request."""
+    return Request("r1", "permits", "kauri", "GET", "/", [], body_of(b""), deadline)
+
+
+async def test_isolated_dispatcher_sends_nothing(
+    autojump_clock: trio.testing.MockClock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against work for a target that was withdrawn while its dispatcher was cut off."""
+    clock = TrioClock()
+    directory = Directory()
+    directory.update_catalog(apply_note(Catalog(), FIRST))
+    row = GroupRow(GroupId("permits", 0), 2, HostRef("a", 1), None, ("permits-01",))
+    dispatcher = GroupDispatcher(row, 2, directory, LimitsSection(), clock)
+    sent = []
+
+    async def send(req: Request, *_args: object, **_options: object) -> str:
+        sent.append(req.id)
+        return "answer"
+
+    monkeypatch.setattr(dispatcher._clients["permits-01"], "send", send)
+    serving = Serving("permits-01", 4, clock.now() + 1.0)
+    dispatcher.may_send = lambda now: False
+    with pytest.raises(NotRun) as caught:
+        await dispatcher._send(request_until(clock.now() + 1.0), b"", 0, serving)
+    assert (caught.value.reason, sent) == ("isolated", [])
+    dispatcher.may_send = lambda now: True
+    await dispatcher._send(request_until(clock.now() + 1.0), b"", 0, serving)
+    assert sent == ["r1"]
+
+
+async def test_dispatchers_of_a_host_ask_its_contact(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against a host that knows of its isolation and sends work nevertheless."""
+    cfg = Settings.model_validate(
+        {
+            "host": {"name": "host-01", "domain": "akl-a"},
+            "callers": {"address": "127.0.0.1:1"},
+            "admin": {"address": "127.0.0.1:2", "token": "x" * 16},
+            "peers": {"address": "127.0.0.1:3"},
+            "platform": {"url": "http://127.0.0.1:4"},
+        }
+    )
+    host = Host(cfg, clock=TrioClock())
+    host.members.take_host_list([HostInfo("host-02", "akl-b", "127.0.0.2:3")])
+    now = host.clock.now()
+    assert not host.dispatch.may_send(now)
+    host.contact.note(now, 0)
+    assert host.dispatch.may_send(now + ISOLATION_SECONDS)
+    assert not host.dispatch.may_send(now + ISOLATION_SECONDS + 0.01)
