--- a/radishshunt/app.py
+++ b/radishshunt/app.py
@@ -12,6 +12,7 @@
 from radishshunt.contact import Contact
 from radishshunt.directory import Directory
 from radishshunt.dispatch.manager import DispatchManager
+from radishshunt.dispatch.takeover import Takeover
 from radishshunt.frontend import Frontend
 from radishshunt.http_server import HttpServer
 from radishshunt.members import Members
@@ -89,6 +90,14 @@
             self.contact,
             cfg.peers.seeds,
         )
+        self.takeover = Takeover(
+            HostRef(self.me.host, self.me.incarnation),
+            self.directory,
+            self.dispatch,
+            self.membership,
+            self.network,
+            self.clock,
+        )
         self.planning = Planning(
             self.me.host,
             self.directory,
@@ -96,6 +105,7 @@
             self.membership,
             self.sync,
             self.platform.table,
+            self.takeover,
         )
         self.memory = BodyMemory(cfg.limits.body_memory_bytes)
         self.router = Router(
@@ -193,6 +203,7 @@
                 "fetches": self.sync.run_fetches,
                 "platform": self.sync.run_platform,
                 "dispatch": self.dispatch.run,
+                "takeover": self.takeover.run,
                 "planner": self.planning.run,
                 "callers": self._serve_callers,
                 "admin": self._serve_admin,
@@ -215,7 +226,8 @@
 
     async def _wait_idle(self) -> None:
         with trio.move_on_after(self.cfg.limits.stop_seconds):
-            while self.frontend.running or any(g.load for g in self.dispatch.groups.values()):
+            await self.takeover.hand_over_all()
+            while self.frontend.running or self.dispatch.busy or self.dispatch.groups:
                 await trio.sleep(STOP_POLL_SECONDS)
 
     def _paired_hosts(self) -> frozenset[str]:
--- a/radishshunt/emulator/simulation.py
+++ b/radishshunt/emulator/simulation.py
@@ -11,7 +11,7 @@
 from radishshunt.contact import Contact
 from radishshunt.directory import Directory
 from radishshunt.errors import PeerUnavailable, PlatformUnavailable
-from radishshunt.members import Members
+from radishshunt.members import Members, State
 from radishshunt.membership import Membership
 from radishshunt.model import HostInfo
 from radishshunt.peers import PeerNetwork
@@ -19,7 +19,7 @@
 from radishshunt.platform.memory import MemoryHostList, MemoryObjectStore, MemoryTable
 from radishshunt.sync import Sync
 from radishshunt.wire.codec import LENGTH_BYTES, decode, encode
-from radishshunt.wire.messages import Heartbeat
+from radishshunt.wire.messages import Heartbeat, Member
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
@@ -35,12 +35,18 @@
     """What a host has sent.
 
     :ivar kinds: Messages by kind.
+    :ivar received: Bytes that were sent to the host.
     """
 
     messages: int = 0
     bytes: int = 0
+    received: int = 0
     kinds: Counter[str] = field(default_factory=Counter)
 
+    def total(self) -> int:
+        """Return the bytes in both directions."""
+        return self.bytes + self.received
+
 
 class Fabric:
     """Connects the networks of simulated hosts.
@@ -82,6 +88,7 @@
         traffic.messages += 1
         traffic.bytes += len(data)
         traffic.kinds[type(msg).__name__] += 1
+        self.traffic[receiver].received += len(data)
         await self._wait_running(sender)
         await trio.sleep(self.latency_seconds)
         if pair(sender, receiver) in self.cut:
@@ -358,6 +365,18 @@
         for number in range(hosts):
             self.add(f"host-{number:05d}", f"domain-{number % domains:02d}")
 
+    def settle(self) -> None:
+        """Let every host know all others, as if they had run for long."""
+        at = self.clock.now()
+        records = [
+            Member(
+                h.me.host, h.me.incarnation, h.me.domain, h.me.address, int(State.ALIVE), at - 1.0
+            )
+            for h in self.hosts.values()
+        ]
+        for host in self.hosts.values():
+            host.members.merge(records, "")
+
     def add(
         self, name: str, domain: str, *, incarnation: int = 0, seeds: Iterable[str] = ()
     ) -> SimulatedHost:
--- a/radishshunt/wire/codec.py
+++ b/radishshunt/wire/codec.py
@@ -25,8 +25,10 @@
     Intents,
     Member,
     Message,
+    Notice,
     Probe,
     ProbeAnswer,
+    Pulse,
     RequestHead,
     ResponseHead,
     Suspect,
@@ -63,8 +65,22 @@
         ),
     ),
     Probe: ("probe", (("host", "host"),)),
+    Pulse: (
+        "pulse",
+        (("sent_at", "sentAt"), ("echo", "echo"), ("catalog_version", "catalogVersion")),
+    ),
     ProbeAnswer: ("probeAnswer", (("heard_at", "heardAt"),)),
     Document: ("document", (("name", "name"), ("version", "version"), ("content", "content"))),
+    Notice: (
+        "notice",
+        (
+            ("kind", "kind"),
+            ("service", "service"),
+            ("group", "group"),
+            ("generation", "generation"),
+            ("deadline", "deadline"),
+        ),
+    ),
     Announce: ("announce", (("name", "name"), ("version", "version"), ("content", "content"))),
 }
 _PLAIN_BY_NAME = {name: (cls, fields) for cls, (name, fields) in _PLAIN.items()}
@@ -210,6 +226,7 @@
     part.platformSeenAt = msg.platform_seen_at
     part.rowsDigest = msg.rows_digest
     part.membersDigest = msg.members_digest
+    part.echo = msg.echo
     for item, member in zip(part.init("members", len(msg.members)), msg.members, strict=True):
         item.host = member.host
         item.incarnation = member.incarnation
@@ -248,6 +265,7 @@
         members=[
             Member(m.host, m.incarnation, m.domain, m.address, m.state, m.at) for m in part.members
         ],
+        echo=part.echo,
     )
 
 
--- a/radishshunt/wire/connection.py
+++ b/radishshunt/wire/connection.py
@@ -314,11 +314,13 @@
 def _opens_stream(msg: Message) -> bool:
     return type(msg).__name__ in {
         "Heartbeat",
+        "Pulse",
         "RequestHead",
         "Probe",
         "Intents",
         "Fetch",
         "Announce",
+        "Notice",
     }
 
 
--- a/radishshunt/wire/messages.py
+++ b/radishshunt/wire/messages.py
@@ -71,6 +71,7 @@
     :param rows_digest: Digest of the generations of all rows that the sender knows.
     :param members_digest: Digest of the sender's view of the hosts.
     :param members: News of hosts.
+    :param echo: Time in the receiver's last answer that reached the sender, 0 for none.
     """
 
     host: str
@@ -86,6 +87,20 @@
     rows_digest: int = 0
     members_digest: int = 0
     members: list[Member] = field(default_factory=list)
+    echo: float = 0.0
+
+
+@dataclass(slots=True)
+class Pulse:
+    """Sign of life between heartbeats, answered with another one.
+
+    :param sent_at: Seconds since the Unix epoch on the sender's clock.
+    :param echo: As in :class:`Heartbeat`.
+    """
+
+    sent_at: float
+    echo: float
+    catalog_version: int
 
 
 @dataclass(slots=True)
@@ -222,6 +237,23 @@
     content: bytes
 
 
+@dataclass(slots=True)
+class Notice:
+    """News of who dispatches a group, answered with an acknowledgement.
+
+    :param kind: ``taken-over`` tells all hosts of a new dispatcher, ``hand-over`` asks the standby
+        dispatcher to take over, ``hold`` asks it not to take over under the generation's row.
+    :param deadline: For ``hand-over``, the end of the last grant that the sender has issued, in
+        seconds since the Unix epoch.
+    """
+
+    kind: str
+    service: str
+    group: int
+    generation: int
+    deadline: float = 0.0
+
+
 Message = (
     Hello
     | Heartbeat
@@ -239,4 +271,6 @@
     | Fetch
     | Document
     | Announce
+    | Notice
+    | Pulse
 )
--- a/radishshunt/wire/radishshunt.capnp
+++ b/radishshunt/wire/radishshunt.capnp
@@ -51,6 +51,13 @@
   rowsDigest @10 :UInt64;
   membersDigest @11 :UInt64;
   members @12 :List(Member);
+  echo @13 :Float64;
+}
+
+struct Pulse {
+  sentAt @0 :Float64;
+  echo @1 :Float64;
+  catalogVersion @2 :UInt64;
 }
 
 struct RequestHead {
@@ -105,6 +112,14 @@
   content @2 :Data;
 }
 
+struct Notice {
+  kind @0 :Text;
+  service @1 :Text;
+  group @2 :UInt32;
+  generation @3 :UInt64;
+  deadline @4 :Float64;
+}
+
 struct Frame {
   stream @0 :UInt64;
   union {
@@ -124,5 +139,7 @@
     fetch @14 :Text;
     document @15 :Document;
     announce @16 :Document;
+    notice @17 :Notice;
+    pulse @18 :Pulse;
   }
 }
