--- a/radishshunt/cmd/experiment.py
+++ b/radishshunt/cmd/experiment.py
@@ -63,12 +63,12 @@
     results = run_jobs(jobs, processes)
     summary = summarise(results)
     report.mkdir(parents=True, exist_ok=True)
-    write_json(results, report / "figures.json")
+    write_json(results, report / f"{part.value}.json")
     sections = {
         name: markdown(summary, name) for name in ("goals", "scenarios", "sharing", "sweeps")
     }
     text = "\n".join(f"## {name}\n\n{tables}" for name, tables in sections.items())
-    (report / "figures.md").write_text(text, "utf-8")
+    (report / f"{part.value}.md").write_text(text, "utf-8")
     if part in (Part.ALL, Part.SCENARIOS):
         plots(summary, report)
     if write is not None:
--- a/radishshunt/placement/balanced.py
+++ b/radishshunt/placement/balanced.py
@@ -13,9 +13,9 @@
 
 # Utilisation relative to the mean from which a target gives slices away.
 IMBALANCE_LIMIT = 1.08
-# Utilisation relative to the mean up to which a target is filled; below the limit, so that
-# noise doesn't push the receiving target over it at once.
-FILL_LIMIT = 1.02
+# Utilisation relative to the mean up to which a target is filled. Lower values leave no room for
+# large slices, so that many small ones move in their place.
+FILL_LIMIT = 1.08
 # Standard deviations of the counted requests that a difference must exceed.
 NOISE_DEVIATIONS = 1.5
 # A slice that has moved stays for this long, unless its owner takes no work.
--- a/radishshunt/placement/heat.py
+++ b/radishshunt/placement/heat.py
@@ -17,7 +17,7 @@
 SHIFT_DEVIATIONS = 4.0
 # Slices shifting at once from which all averages start anew: the smaller changes that belong to
 # the same shift can't be told from noise one by one, and would stay for the averaging time.
-SHIFT_SLICES = 3
+SHIFT_SLICES = 1
 
 
 class HeatEstimator:
--- a/radishshunt/policy/drain/staged.py
+++ b/radishshunt/policy/drain/staged.py
@@ -6,7 +6,7 @@
 
 # Share of its cold bound that a cold target is given work for. It answers slower than a warm
 # one, and a single slot has no reserve for bursts.
-COLD_SHARE = 0.4
+COLD_SHARE = 0.6
 
 
 class Staged(Drain):
--- a/radishshunt/policy/hedging/budgeted.py
+++ b/radishshunt/policy/hedging/budgeted.py
@@ -10,7 +10,7 @@
 # Answer times that the percentile is taken from.
 WINDOW = 256
 # Share of answers that are slower than the delay.
-SLOW_SHARE = 0.05
+SLOW_SHARE = 0.02
 # Second copies relative to requests.
 BUDGET_RATIO = 0.05
 # Answers needed before anything is hedged.
