--- a/radishshunt/targets.py
+++ b/radishshunt/targets.py
@@ -10,12 +10,14 @@
 
 from radishshunt.errors import NotRun, OutcomeOfRequestUnknown, RadishshuntError
 from radishshunt.model import Response
+from radishshunt.target_transport import TargetTransport
+from radishshunt.util.headers import HOP_HEADERS, connection_options
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
     from radishshunt.model import Request
-    from radishshunt.ownership import Fence, Grant
+    from radishshunt.ownership_state import Fence, Grant
     from radishshunt.release.catalog import TargetSpec
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -27,21 +29,6 @@
 
 NOT_RUN_HEADER = "radishshunt-not-run"
 REQUEST_ID_HEADER = "radishshunt-request-id"
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "host",
-        "content-length",
-    }
-)
 
 
 class GrantRejected(RadishshuntError):
@@ -59,22 +46,29 @@
 
 
 class TargetUnreachable(RadishshuntError):
-    """A target did not answer a control call."""
+    """A target did not answer a control call.
+
+    :param sent: Whether the call may have reached the target.
+    """
 
     category = "target unreachable"
 
+    def __init__(self, message: str, *, sent: bool = True) -> None:
+        super().__init__(message)
+        self.sent = sent
+
 
 @dataclass(frozen=True, slots=True)
 class FenceAnswer:
     """Answer to a fence.
 
     :param held_standby: Slices for which the target has held a step-1 grant.
-    :param busy_until: Latest deadline of requests running under lower epochs, 0 for none.
+    :param busy: Latest deadline of requests running under lower epochs, by slice.
     """
 
     incarnation: int
     held_standby: frozenset[int]
-    busy_until: float
+    busy: dict[int, float]
 
 
 class TargetClient:
@@ -85,13 +79,15 @@
 
     def __init__(self, spec: TargetSpec, local_address: str | None = None) -> None:
         self.spec = spec
-        limits = httpx.Limits(
-            max_connections=min(spec.slots + CONTROL_CONNECTIONS, spec.connections),
-            max_keepalive_connections=spec.slots + CONTROL_CONNECTIONS,
-            keepalive_expiry=KEEPALIVE_SECONDS,
+        self._transport = TargetTransport(
+            spec.address,
+            connections=min(spec.slots + CONTROL_CONNECTIONS, spec.connections),
+            idle_seconds=KEEPALIVE_SECONDS,
+            local_address=local_address,
+        )
+        self._client = httpx.AsyncClient(
+            base_url=f"http://{spec.address}", transport=self._transport
         )
-        transport = httpx.AsyncHTTPTransport(limits=limits, local_address=local_address)
-        self._client = httpx.AsyncClient(base_url=f"http://{spec.address}", transport=transport)
 
     async def aclose(self) -> None:
         """Close all connections."""
@@ -103,12 +99,17 @@
         :raises GrantRejected: If the target is fenced at a higher generation.
         :raises TargetUnreachable: If there is no answer.
         """
-        doc = {"service": service, "group": group, "generation": command.generation}
+        doc = {
+            "service": service,
+            "group": group,
+            "generation": command.generation,
+            "slices": command.slices,
+        }
         answer = await self._control("/_target/fence", doc)
         return FenceAnswer(
             answer["incarnation"],
             frozenset(answer.get("held_standby", ())),
-            answer.get("busy_until", 0.0),
+            _busy_of(answer, command.slices),
         )
 
     async def grant(self, service: str, group: int, command: Grant) -> None:
@@ -146,18 +147,18 @@
         :raises NotRun: If the target did not run the request.
         :raises OutcomeOfRequestUnknown: If it may have run.
         """
-        request = self._client.build_request(
-            req.method,
-            req.path,
-            content=body,
-            headers=_headers(req, group, slice_number, epoch, deadline),
-            timeout=httpx.Timeout(
-                max(0.001, deadline - now), connect=min(CONNECT_TIMEOUT_SECONDS, deadline - now)
-            ),
-        )
+        left = deadline - now
+        headers = _headers(req, self.spec.address, group, slice_number, epoch, deadline, body)
         try:
-            with trio.fail_after(max(0.0, deadline - now)):
-                resp = await self._client.send(request, stream=True)
+            with trio.fail_after(max(0.0, left)):
+                resp = await self._transport.request(
+                    req.method,
+                    req.path.encode("latin-1"),
+                    headers,
+                    body,
+                    seconds=max(0.001, left),
+                    connect_seconds=min(CONNECT_TIMEOUT_SECONDS, left),
+                )
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
             raise NotRun("connect-failed", f"target {self.spec.name}: {exc!r}") from exc
         except (httpx.HTTPError, trio.TooSlowError) as exc:
@@ -176,11 +177,9 @@
         if reason:
             await resp.aclose()
             raise NotRun(reason, f"target {self.spec.name} did not run the request")
-        headers = [
-            (name, value)
-            for name, value in resp.headers.multi_items()
-            if name not in HOP_HEADERS or name == "content-length"
-        ]
+        items = [(n.decode("latin-1").lower(), v.decode("latin-1")) for n, v in resp.headers.raw]
+        dropped = (HOP_HEADERS - {"content-length"}) | connection_options(items)
+        headers = [(name, value) for name, value in items if name not in dropped]
         return Response(resp.status_code, headers, _body(self.spec.name, resp))
 
     async def _control(self, path: str, doc: dict) -> dict:
@@ -188,7 +187,8 @@
             resp = await self._client.post(path, json=doc, timeout=CONTROL_TIMEOUT_SECONDS)
             answer = resp.json()
         except (httpx.HTTPError, ValueError) as exc:
-            raise TargetUnreachable(f"target {self.spec.name}: {exc!r}") from exc
+            sent = not isinstance(exc, (httpx.ConnectError, httpx.PoolTimeout))
+            raise TargetUnreachable(f"target {self.spec.name}: {exc!r}", sent=sent) from exc
         if resp.status_code == 409:
             raise GrantRejected(answer.get("reason", "fenced"), answer.get("incarnation", 0))
         if resp.status_code != 200:
@@ -196,10 +196,27 @@
         return answer
 
 
+def _busy_of(answer: dict, slices: tuple[int, ...]) -> dict[int, float]:
+    """Return until when requests run; a target that names no slices may be busy with any."""
+    if "busy" in answer:
+        return {int(number): deadline for number, deadline in answer["busy"].items()}
+    until = answer.get("busy_until", 0.0)
+    return dict.fromkeys(slices, until) if until else {}
+
+
 def _headers(
-    req: Request, group: int, slice_number: int | None, epoch: int, deadline: float
-) -> list[tuple[str, str]]:
-    headers = [(n, v) for n, v in req.headers if n not in HOP_HEADERS]
+    req: Request,
+    address: str,
+    group: int,
+    slice_number: int | None,
+    epoch: int,
+    deadline: float,
+    body: bytes,
+) -> list[tuple[bytes, bytes]]:
+    headers = [("host", address)]
+    headers += [(n, v) for n, v in req.headers if n not in HOP_HEADERS]
+    if body or req.method in ("POST", "PUT", "PATCH"):
+        headers.append(("content-length", str(len(body))))
     headers += [
         (REQUEST_ID_HEADER, req.id),
         ("radishshunt-service", req.service),
@@ -212,12 +229,13 @@
         headers.append(("radishshunt-slice", str(slice_number)))
     if req.idempotency_key:
         headers.append(("idempotency-key", req.idempotency_key))
-    return headers
+    # Not ASCII, since values may hold any byte (RFC 9110, section 5.5).
+    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
 
 
 async def _body(target: str, resp: httpx.Response) -> AsyncIterator[bytes]:
     try:
-        async for chunk in resp.aiter_raw():
+        async for chunk in resp.stream:
             yield chunk
     except httpx.HTTPError as exc:
         raise OutcomeOfRequestUnknown(
--- a/radishshunt/wire/messages.py
+++ b/radishshunt/wire/messages.py
@@ -46,11 +46,32 @@
     expires_at: float
 
 
+@dataclass(slots=True)
+class Member:
+    """What is known of a host, as it spreads with heartbeats.
+
+    :param state: Value of :class:`radishshunt.members.State`.
+    :param at: When it became known, in seconds since the Unix epoch; later news wins.
+    """
+
+    host: str
+    incarnation: int
+    domain: str
+    address: str
+    state: int
+    at: float
+
+
 @dataclass(slots=True)
 class Heartbeat:
     """State of a host, sent to its peers and answered with their own.
 
     :param sent_at: Seconds since the Unix epoch on the sender's clock.
+    :param platform_seen_at: Latest time at which a host known to the sender read the platform.
+    :param rows_digest: Digest of the generations of all rows that the sender knows.
+    :param members_digest: Digest of the sender's view of the hosts.
+    :param members: News of hosts.
+    :param echo: Time in the receiver's last answer that reached the sender, 0 for none.
     """
 
     host: str
@@ -62,6 +83,24 @@
     suspects: list[Suspect] = field(default_factory=list)
     leaving: bool = False
     sent_at: float = 0.0
+    platform_seen_at: float = 0.0
+    rows_digest: int = 0
+    members_digest: int = 0
+    members: list[Member] = field(default_factory=list)
+    echo: float = 0.0
+
+
+@dataclass(slots=True)
+class Pulse:
+    """Sign of life between heartbeats, answered with another one.
+
+    :param sent_at: Seconds since the Unix epoch on the sender's clock.
+    :param echo: As in :class:`Heartbeat`.
+    """
+
+    sent_at: float
+    echo: float
+    catalog_version: int
 
 
 @dataclass(slots=True)
@@ -198,6 +237,23 @@
     content: bytes
 
 
+@dataclass(slots=True)
+class Notice:
+    """News of who dispatches a group, answered with an acknowledgement.
+
+    :param kind: ``taken-over`` tells all hosts of a new dispatcher, ``hand-over`` asks the standby
+        dispatcher to take over, ``hold`` asks it not to take over under the generation's row.
+    :param deadline: For ``hand-over``, the end of the last grant that the sender has issued, in
+        seconds since the Unix epoch.
+    """
+
+    kind: str
+    service: str
+    group: int
+    generation: int
+    deadline: float = 0.0
+
+
 Message = (
     Hello
     | Heartbeat
@@ -215,4 +271,6 @@
     | Fetch
     | Document
     | Announce
+    | Notice
+    | Pulse
 )
--- a/radishshunt/wire/radishshunt.capnp
+++ b/radishshunt/wire/radishshunt.capnp
@@ -28,6 +28,15 @@
   expiresAt @3 :Float64;
 }
 
+struct Member {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  domain @2 :Text;
+  address @3 :Text;
+  state @4 :UInt8;
+  at @5 :Float64;
+}
+
 struct Heartbeat {
   host @0 :Text;
   incarnation @1 :UInt64;
@@ -38,6 +47,17 @@
   suspects @6 :List(Suspect);
   leaving @7 :Bool;
   sentAt @8 :Float64;
+  platformSeenAt @9 :Float64;
+  rowsDigest @10 :UInt64;
+  membersDigest @11 :UInt64;
+  members @12 :List(Member);
+  echo @13 :Float64;
+}
+
+struct Pulse {
+  sentAt @0 :Float64;
+  echo @1 :Float64;
+  catalogVersion @2 :UInt64;
 }
 
 struct RequestHead {
@@ -92,6 +112,14 @@
   content @2 :Data;
 }
 
+struct Notice {
+  kind @0 :Text;
+  service @1 :Text;
+  group @2 :UInt32;
+  generation @3 :UInt64;
+  deadline @4 :Float64;
+}
+
 struct Frame {
   stream @0 :UInt64;
   union {
@@ -111,5 +139,7 @@
     fetch @14 :Text;
     document @15 :Document;
     announce @16 :Document;
+    notice @17 :Notice;
+    pulse @18 :Pulse;
   }
 }
