--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup demo test lint scenarios unit binary bench measure soak capacity clean
+.PHONY: setup demo test lint scenarios unit binary bench reference measure soak capacity clean
 
 # The stamp is newer than pyproject.toml once its dependencies are installed.
 $(VENV)/.installed: pyproject.toml
@@ -28,11 +28,29 @@
 scenarios: setup
 	$(BIN)/behave --no-color --summary features
 
+# Takes about 5 minutes on 4 processes.
+measure: setup
+	$(BIN)/radishshunt experiment --part scenarios --seeds 3 --processes 4 --write docs/measurements.md
+	$(BIN)/radishshunt experiment --part sharing --seeds 3 --processes 4 --write docs/measurements.md
+	$(BIN)/radishshunt experiment --part sweeps --seeds 2 --processes 4 --write docs/measurements.md
+
 binary: setup
 	$(BIN)/pyinstaller --noconfirm --clean --onefile --name radishshunt --log-level ERROR \
 	    --collect-all capnp --collect-data radishshunt --collect-submodules radishshunt \
 	    radishshunt/__main__.py
 	dist/radishshunt version
 
+soak: setup
+	$(BIN)/python -m tests.soak.run --seed 1
+
+capacity: setup
+	$(BIN)/python -m radishshunt.experiment.capacity
+
+bench: setup
+	$(BIN)/radishshunt bench
+
+reference: setup
+	$(BIN)/python docs/generate_settings.py
+
 clean:
 	rm -rf build dist report
--- a/radishshunt/answers.py
+++ b/radishshunt/answers.py
@@ -9,6 +9,7 @@
 
 from radishshunt.errors import NotRun, OutcomeOfRequestUnknown
 from radishshunt.model import Response
+from radishshunt.util.headers import HOP_HEADERS, connection_options
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable
@@ -18,21 +19,6 @@
 NOT_RUN_HEADER = "radishshunt-not-run"
 NOT_RUN_STATUS = 409
 REQUEST_ID_HEADER = "radishshunt-request-id"
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "host",
-        "content-length",
-    }
-)
 
 
 class TargetAnswer:
@@ -47,7 +33,7 @@
     ) -> None:
         self._target = target
         self._resp = resp
-        self._chunks = resp.aiter_raw()
+        self._chunks = resp.stream.__aiter__()
         self._finish = finish
         self._finished = False
 
@@ -75,11 +61,10 @@
 
     def response(self) -> Response:
         """Return the answer in the form that is passed on."""
-        headers = [
-            (name, value)
-            for name, value in self._resp.headers.multi_items()
-            if name not in HOP_HEADERS or name == "content-length"
-        ]
+        raw = self._resp.headers.raw
+        items = [(n.decode("latin-1").lower(), v.decode("latin-1")) for n, v in raw]
+        dropped = (HOP_HEADERS - {"content-length"}) | connection_options(items)
+        headers = [(name, value) for name, value in items if name not in dropped]
         return Response(self._resp.status_code, headers, self)
 
     async def drain(self) -> None:
--- a/radishshunt/app.py
+++ b/radishshunt/app.py
@@ -6,16 +6,19 @@
 from typing import TYPE_CHECKING, Any
 
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
 
 from radishshunt.admin import build_app
 from radishshunt.clock import Clock, SystemClock
+from radishshunt.contact import Contact
 from radishshunt.directory import Directory
 from radishshunt.dispatch.manager import DispatchManager
+from radishshunt.dispatch.takeover import Takeover
 from radishshunt.frontend import Frontend
+from radishshunt.http_server import HttpServer
 from radishshunt.intent_log import IntentLog
+from radishshunt.members import Members
 from radishshunt.membership import Membership
+from radishshunt.memory import BodyMemory
 from radishshunt.metrics import Metrics
 from radishshunt.model import HostInfo, HostRef, ip_of, new_incarnation
 from radishshunt.peers import PeerNetwork
@@ -23,16 +26,16 @@
 from radishshunt.platform.http import connect
 from radishshunt.quarantine import Quarantine
 from radishshunt.router import Router
+from radishshunt.status import explain, host_status, hosts_status, update_metrics
 from radishshunt.supervisor import Supervisor
 from radishshunt.sync import Sync
 from radishshunt.wire.messages import Heartbeat
 
 if TYPE_CHECKING:
-    from quart_trio import QuartTrio
-
     from radishshunt.platform import Platform
     from radishshunt.release.catalog import Catalog
-    from radishshunt.settings import Settings, TlsSection
+    from radishshunt.release.note import ReleaseNote
+    from radishshunt.settings import Settings
 
 logger = logging.getLogger(__name__)
 
@@ -73,8 +76,36 @@
             log=self.intents,
             quarantine=self.quarantine,
         )
-        self.membership = Membership(self.network, self.clock, self.describe, self._on_heartbeat)
-        self.sync = Sync(self.directory, self.network, self.platform, self.clock, self._on_catalog)
+        self.members = Members(self.me, self.network, self.clock)
+        self.contact = Contact(self.directory, self.members)
+        self.dispatch.may_send = self.contact.may_send_new_work
+        self.membership = Membership(
+            self.network,
+            self.clock,
+            self.describe,
+            self._on_heartbeat,
+            self.members,
+            self.contact,
+            self._paired_hosts,
+        )
+        self.sync = Sync(
+            self.directory,
+            self.network,
+            self.platform,
+            self.clock,
+            self._on_catalog,
+            self.members,
+            self.contact,
+            cfg.peers.seeds,
+        )
+        self.takeover = Takeover(
+            HostRef(self.me.host, self.me.incarnation),
+            self.directory,
+            self.dispatch,
+            self.membership,
+            self.network,
+            self.clock,
+        )
         self.planning = Planning(
             self.me.host,
             self.directory,
@@ -82,18 +113,32 @@
             self.membership,
             self.sync,
             self.platform.table,
+            self.takeover,
         )
+        self.memory = BodyMemory(cfg.limits.body_memory_bytes)
         self.router = Router(
-            self.me.host, self.directory, self.dispatch, self.network, self.clock, self.metrics
+            self.me.host,
+            self.directory,
+            self.dispatch,
+            self.network,
+            self.clock,
+            self.metrics,
+            self.memory,
         )
-        self.frontend = Frontend(self.router, cfg.limits, self.clock, self.metrics)
+        self._pairs: tuple[int, frozenset[str]] = (0, frozenset())
+        self.frontend = Frontend(self.router, cfg.limits, self.clock, self.metrics, self.memory)
         self.leaving = False
+        self._callers_server: HttpServer | None = None
         self.started = trio.Event()
         self._stop = trio.Event()
 
     def stop(self) -> None:
         """Begin a graceful stop."""
         self.leaving = True
+        self.members.declare(leaving=True)
+        if self._callers_server is not None:
+            # Answers now close their connections, so that no caller sends on one that ends.
+            self._callers_server.leaving = True
         self._stop.set()
 
     async def run(self) -> None:
@@ -118,12 +163,17 @@
             suspects=self.quarantine.suspects(self.clock.now()),
             leaving=self.leaving,
             sent_at=self.clock.now(),
+            platform_seen_at=self.sync.platform_seen_at,
+            rows_digest=self.directory.rows_digest,
         )
 
-    async def take_catalog(self, catalog: Catalog) -> None:
-        """Put an accepted catalog into force here and announce it to all peers."""
-        self.sync.take_catalog(catalog, "submitted here")
-        await self.sync.announce_catalog(catalog)
+    async def take_catalog(self, catalog: Catalog, note: ReleaseNote | None = None) -> None:
+        """Put an accepted catalog into force here and announce it to the peers.
+
+        :param note: Note that led to the catalog.
+        """
+        self.sync.take_catalog(catalog, "submitted here", note)
+        await trio.lowlevel.checkpoint()
 
     def unready_reasons(self) -> list[str]:
         """Return why the balancer should not send callers here; empty if it should."""
@@ -132,58 +182,27 @@
             reasons.append("the host is stopping")
         if not self.directory.catalog.version:
             reasons.append("no release note is known yet")
+        if not self.sync.loaded:
+            reasons.append("the rows were read neither from a peer nor from the platform")
+        elif not self.contact.may_send_new_work(self.clock.now()):
+            reasons.append("no recent contact with a peer or with the platform")
         return reasons
 
     def status(self) -> dict[str, Any]:
         """Return this host's state and what it knows of the others."""
-        return {
-            "host": self.me.host,
-            "domain": self.me.domain,
-            "incarnation": self.me.incarnation,
-            "version": self.directory.catalog.version,
-            "digest": self.directory.catalog.digest,
-            "domains": {n: s.value for n, s in self.directory.catalog.domains.items()},
-            "groups": [
-                {
-                    "service": s.service,
-                    "group": s.group,
-                    "generation": s.generation,
-                    "load": round(s.load, 3),
-                }
-                for s in self.dispatch.states()
-            ],
-            "hosts": [
-                {"host": info.host, "domain": info.domain, "leaving": info.leaving}
-                for info in self.membership.live_hosts()
-            ],
-        }
+        return host_status(self)
+
+    def hosts_status(self) -> dict[str, Any]:
+        """Return host by host which version is in force."""
+        return hosts_status(self)
 
     def explain(self, service: str, key: str) -> dict[str, Any]:
         """Return who serves a key and why."""
-        spec = self.directory.catalog.services[service]
-        if not spec.keyed:
-            return {"service": service, "keyed": False}
-        location = self.directory.locate(service, key)
-        if location is None:
-            return {"service": service, "keyed": True, "reason": "no row lists the key's slice"}
-        row = self.directory.rows[location.group]
-        pair = row.slices[location.slice]
-        return {
-            "service": service,
-            "keyed": True,
-            "slice": location.slice,
-            "group": location.group.group,
-            "generation": location.dispatcher.generation,
-            "dispatcher": location.dispatcher.host,
-            "owner": pair.owner,
-            "standby": pair.standby,
-            "reason": f"row of generation {row.generation} in the platform's table",
-        }
+        return explain(self, service, key)
 
     def render_metrics(self) -> bytes:
         """Return the host's metrics in Prometheus text format."""
-        self.metrics.groups.set(len(self.dispatch.groups))
-        self.metrics.catalog_version.set(self.directory.catalog.version)
+        update_metrics(self)
         return self.metrics.render()
 
     async def _run_parts(self) -> None:
@@ -193,6 +212,7 @@
                 "fetches": self.sync.run_fetches,
                 "platform": self.sync.run_platform,
                 "dispatch": self.dispatch.run,
+                "takeover": self.takeover.run,
                 "planner": self.planning.run,
                 "callers": self._serve_callers,
                 "admin": self._serve_admin,
@@ -201,38 +221,40 @@
 
     async def _serve_callers(self) -> None:
         cfg = self.cfg.callers
-        await _serve(self.frontend.app, cfg.address, cfg.tls)
+        limit = self.cfg.limits.connections
+        server = HttpServer(
+            self.frontend.app, cfg.address, name="callers", tls=cfg.tls, connections=limit
+        )
+        self._callers_server = server
+        server.leaving = self.leaving
+        await server.run()
 
     async def _serve_admin(self) -> None:
         cfg = self.cfg.admin
-        await _serve(build_app(self), cfg.address, cfg.tls)
+        await HttpServer(build_app(self), cfg.address, name="admin", tls=cfg.tls).run()
 
     async def _wait_idle(self) -> None:
         with trio.move_on_after(self.cfg.limits.stop_seconds):
-            while self.frontend.running or any(g.load for g in self.dispatch.groups.values()):
+            await self.takeover.hand_over_all()
+            while self.frontend.running or self.dispatch.busy or self.dispatch.groups:
                 await trio.sleep(STOP_POLL_SECONDS)
 
+    def _paired_hosts(self) -> frozenset[str]:
+        """Return the hosts that share a group with this one as its other dispatcher."""
+        digest = self.directory.rows_digest
+        if self._pairs[0] != digest:
+            me = self.me.host
+            pairs = set()
+            for row in self.directory.rows.values():
+                standby = row.standby_dispatcher.host if row.standby_dispatcher else me
+                if me in (row.dispatcher.host, standby):
+                    pairs |= {row.dispatcher.host, standby}
+            self._pairs = (digest, frozenset(pairs - {me}))
+        return self._pairs[1]
+
     def _on_heartbeat(self, beat: Heartbeat) -> None:
         self.sync.note_heartbeat(beat)
         self.quarantine.merge(beat.suspects, self.clock.now())
 
     def _on_catalog(self, catalog: Catalog) -> None:
         self.metrics.catalog_version.set(catalog.version)
-
-
-async def _serve(app: QuartTrio, address: str, tls: TlsSection | None) -> None:
-    config = Config()
-    config.bind = [address]
-    config.accesslog = None
-    config.errorlog = logging.getLogger("radishshunt.http")
-    config.include_server_header = False
-    config.graceful_timeout = 1.0
-    if tls is not None:
-        config.certfile = str(tls.certificate)
-        config.keyfile = str(tls.key)
-        if tls.client_ca is not None:
-            import ssl
-
-            config.ca_certs = str(tls.client_ca)
-            config.verify_mode = ssl.CERT_REQUIRED
-    await serve(app, config, shutdown_trigger=trio.sleep_forever)
--- a/radishshunt/connections.py
+++ b/radishshunt/connections.py
@@ -1,25 +1,24 @@
-"""HTTP connections to one target, one client for each so that each can be judged and replaced."""
+"""HTTP connections to one target, kept apart so that each can be judged and replaced."""
 
 from __future__ import annotations
 
-import ssl
+import json
 from typing import TYPE_CHECKING
 
-import httpx
 import trio
 
 from radishshunt.errors import RadishshuntError
+from radishshunt.target_transport import TargetTransport
 
 if TYPE_CHECKING:
+    import httpx
+
     from radishshunt.release.catalog import TargetSpec
 
 # Shorter than the keep-alive time of targets, so that no request meets a closing connection.
 KEEPALIVE_SECONDS = 4.0
 # Connections kept free for grants, fences, cancellations and health checks.
 RESERVED_CONNECTIONS = 8
-# Targets are reached by plain HTTP. One context is shared because httpx loads the system's
-# certificates for each client otherwise, which takes several milliseconds.
-_TLS_CONTEXT = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 
 
 class NoConnectionFree(RadishshuntError):
@@ -35,23 +34,29 @@
     """
 
     def __init__(self, address: str, local_address: str | None = None) -> None:
-        limits = httpx.Limits(
-            max_connections=1, max_keepalive_connections=1, keepalive_expiry=KEEPALIVE_SECONDS
-        )
-        transport = httpx.AsyncHTTPTransport(
-            verify=_TLS_CONTEXT, limits=limits, local_address=local_address, trust_env=False
-        )
-        self.client = httpx.AsyncClient(
-            base_url=f"http://{address}", transport=transport, trust_env=False
+        self.transport = TargetTransport(
+            address, connections=1, idle_seconds=KEEPALIVE_SECONDS, local_address=local_address
         )
-        # httpx would add Accept-Encoding, and the caller would get an encoding it did not ask for.
-        self.client.headers.clear()
+        self._address = address
         self.control = False
 
+    async def call(self, method: str, path: str, doc: dict | None) -> httpx.Response:
+        """Make a control call with a JSON document and return the whole answer."""
+        body = b"" if doc is None else json.dumps(doc).encode()
+        headers = [(b"host", self._address.encode())]
+        if doc is not None:
+            headers.append((b"content-type", b"application/json"))
+            headers.append((b"content-length", str(len(body)).encode()))
+        resp = await self.transport.request(
+            method, path.encode(), headers, body, seconds=None, connect_seconds=None
+        )
+        await resp.aread()
+        return resp
+
     async def aclose(self) -> None:
         """Close the socket, also within a cancelled scope."""
         with trio.CancelScope(shield=True):
-            await self.client.aclose()
+            await self.transport.aclose()
 
 
 class ConnectionPool:
--- a/radishshunt/control.py
+++ b/radishshunt/control.py
@@ -13,7 +13,7 @@
 
 if TYPE_CHECKING:
     from radishshunt.connections import ConnectionPool
-    from radishshunt.ownership import Fence, Grant
+    from radishshunt.ownership_state import Fence, Grant
     from radishshunt.release.catalog import TargetSpec
 
 CONTROL_TIMEOUT_SECONDS = 0.25
@@ -37,22 +37,29 @@
 
 
 class TargetUnreachable(RadishshuntError):
-    """A target did not answer a control call."""
+    """A target did not answer a control call.
+
+    :param sent: Whether the call may have reached the target.
+    """
 
     category = "target unreachable"
 
+    def __init__(self, message: str, *, sent: bool = True) -> None:
+        super().__init__(message)
+        self.sent = sent
+
 
 @dataclass(frozen=True, slots=True)
 class FenceAnswer:
     """Answer to a fence.
 
     :param held_standby: Slices for which the target has held a step-1 grant.
-    :param busy_until: Latest deadline of requests running under lower epochs, 0 for none.
+    :param busy: Latest deadline of requests running under lower epochs, by slice.
     """
 
     incarnation: int
     held_standby: frozenset[int]
-    busy_until: float
+    busy: dict[int, float]
 
 
 class ControlClient:
@@ -73,13 +80,18 @@
         :raises GrantRejected: If the target is fenced at a higher generation.
         :raises TargetUnreachable: If there is no answer.
         """
-        doc = {"service": service, "group": group, "generation": command.generation}
+        doc = {
+            "service": service,
+            "group": group,
+            "generation": command.generation,
+            "slices": command.slices,
+        }
         answer = await self._control("/_target/fence", doc)
         self.incarnation = answer["incarnation"]
         return FenceAnswer(
             answer["incarnation"],
             frozenset(answer.get("held_standby", ())),
-            answer.get("busy_until", 0.0),
+            _busy_of(answer, command.slices),
         )
 
     async def grant(self, service: str, group: int, command: Grant) -> None:
@@ -153,7 +165,9 @@
             resp = await self._call_twice("POST", path, doc)
             answer = resp.json()
         except (httpx.HTTPError, NoConnectionFree, ValueError) as exc:
-            raise TargetUnreachable(f"target {self._name}: {exc!r}") from exc
+            unsent = (httpx.ConnectError, httpx.ConnectTimeout, NoConnectionFree)
+            sent = not isinstance(exc, unsent)
+            raise TargetUnreachable(f"target {self._name}: {exc!r}", sent=sent) from exc
         if resp.status_code == 409:
             raise GrantRejected(answer.get("reason", "fenced"), answer.get("incarnation", 0))
         if resp.status_code != 200:
@@ -175,7 +189,7 @@
         conn = await self._pool.take(fresh=fresh, control=True)
         try:
             with trio.fail_after(timeout):
-                resp = await conn.client.request(method, path, json=doc, timeout=None)
+                resp = await conn.call(method, path, doc)
         except trio.TooSlowError as exc:
             await self._pool.drop(conn)
             raise httpx.ReadTimeout(f"no answer within {timeout} s") from exc
@@ -184,3 +198,11 @@
             raise
         await self._pool.give_back(conn)
         return resp
+
+
+def _busy_of(answer: dict, slices: tuple[int, ...]) -> dict[int, float]:
+    """Return until when requests run; a target that names no slices may be busy with any."""
+    if "busy" in answer:
+        return {int(number): deadline for number, deadline in answer["busy"].items()}
+    until = answer.get("busy_until", 0.0)
+    return dict.fromkeys(slices, until) if until else {}
--- a/radishshunt/directory.py
+++ b/radishshunt/directory.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from array import array
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import trio
+from xxhash import xxh3_64_intdigest
 
 from radishshunt.hashing import slice_of
 from radishshunt.release.catalog import Catalog
@@ -49,8 +51,10 @@
     def __init__(self) -> None:
         self.catalog = Catalog()
         self.rows: dict[GroupId, GroupRow] = {}
+        # Equal on two hosts that know the same generation of every row.
+        self.rows_digest = 0
         self._dispatchers: dict[GroupId, Dispatcher] = {}
-        self._slice_groups: dict[str, list[GroupId | None]] = {}
+        self._slice_groups: dict[str, tuple[array, list[GroupId]]] = {}
         self._changed = trio.Event()
 
     async def wait_changed(self) -> None:
@@ -67,7 +71,7 @@
         self.catalog = catalog
         gone = [group for group in self.rows if group.service not in catalog.services]
         for group in gone:
-            del self.rows[group]
+            self.rows_digest ^= _row_digest(self.rows.pop(group))
             self._dispatchers.pop(group, None)
         self._slice_groups.clear()
         self._notify()
@@ -81,6 +85,7 @@
         known = self.rows.get(row.group)
         if known is not None and known.generation >= row.generation:
             return False
+        self.rows_digest ^= _row_digest(known) ^ _row_digest(row)
         self.rows[row.group] = row
         self._slice_groups.pop(row.group.service, None)
         self.update_dispatcher(row.group, Dispatcher(row.dispatcher.host, row.generation))
@@ -105,10 +110,12 @@
 
     def group_of_slice(self, service: str, number: int) -> GroupId | None:
         """Return the group that a slice belongs to, or ``None`` if no known row lists it."""
-        groups = self._slice_groups.get(service)
-        if groups is None:
-            groups = self._slice_groups[service] = self._build_slices(service)
-        return groups[number]
+        known = self._slice_groups.get(service)
+        if known is None:
+            known = self._slice_groups[service] = self._build_slices(service)
+        indexes, groups = known
+        index = indexes[number]
+        return groups[index - 1] if index else None
 
     def locate(self, service: str, key: str) -> Location | None:
         """Return where a keyed service's key is served, or ``None`` if that is unknown."""
@@ -126,14 +133,20 @@
             if dispatcher is not None:
                 yield Location(group, None, dispatcher)
 
-    def _build_slices(self, service: str) -> list[GroupId | None]:
-        groups: list[GroupId | None] = [None] * self.catalog.services[service].slices
+    def _build_slices(self, service: str) -> tuple[array, list[GroupId]]:
+        """Return each slice's index into a list of groups, counted from 1, with 0 for none."""
+        indexes = array("I", bytes(4 * self.catalog.services[service].slices))
         # Rows of two groups can be of different age while a slice moves; the newer one wins.
-        for group in sorted(self.groups_of(service), key=lambda g: self.rows[g].generation):
+        groups = sorted(self.groups_of(service), key=lambda g: self.rows[g].generation)
+        for index, group in enumerate(groups, start=1):
             for number in self.rows[group].slices:
-                groups[number] = group
-        return groups
+                indexes[number] = index
+        return indexes, groups
 
     def _notify(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
+
+
+def _row_digest(row: GroupRow | None) -> int:
+    return xxh3_64_intdigest(f"{row.group}/{row.generation}".encode()) if row is not None else 0
--- a/radishshunt/dispatch/group.py
+++ b/radishshunt/dispatch/group.py
@@ -8,14 +8,19 @@
 
 from radishshunt.dispatch.grants import GrantKeeper
 from radishshunt.dispatch.lane import Lane
+from radishshunt.dispatch.load import LoadCounter
 from radishshunt.dispatch.once import OnceRunner
 from radishshunt.dispatch.replication import Replicator
 from radishshunt.errors import NotOwner, NotRun, OutcomeOfRequestUnknown
 from radishshunt.hashing import fingerprint, key_hash
+from radishshunt.intent_log import IntentLog
 from radishshunt.intents import KnowledgeHorizon
 from radishshunt.logs import decision
 from radishshunt.model import new_incarnation, read_body
-from radishshunt.retries import RetryBudget
+from radishshunt.policy.balancing import Candidate
+from radishshunt.policy.budgets import REFUSAL_RATIO, RETRY_RATIO, TokenBudget
+from radishshunt.policy.profile import Adaptive
+from radishshunt.quarantine import Quarantine
 from radishshunt.targets import Envelope, TargetClient
 
 if TYPE_CHECKING:
@@ -23,24 +28,31 @@
 
     from radishshunt.clock import Clock
     from radishshunt.directory import Directory
-    from radishshunt.intent_log import IntentLog
     from radishshunt.model import GroupRow, Request, Response
-    from radishshunt.ownership import Serving
-    from radishshunt.quarantine import Quarantine
+    from radishshunt.ownership_state import Serving
+    from radishshunt.placement.load_report import GroupLoad
     from radishshunt.settings import LimitsSection
 
 FIRST_GENERATION = 2
 # How often a dispatcher that lacks earlier records looks whether they are still needed.
 HORIZON_INTERVAL_SECONDS = 5.0
+# Time for reporting how the last requests ended, after the dispatcher has stopped.
+REPORT_SECONDS = 1.0
 # Pause before a request that did not run is tried again.
 RETRY_PAUSE_SECONDS = 0.05
+# Time kept back for the answer's way, so that no request is sent too late to matter.
+SEND_MARGIN_SECONDS = 0.002
 # Reasons of targets and connections after which another attempt may succeed.
-_RETRIED_NOT_RUN = frozenset({"wrong-epoch", "no-grant", "connect-failed"})
+_RETRIED_NOT_RUN = frozenset({"wrong-epoch", "no-grant", "connect-failed", "cold"})
 _RETRIED_IDEMPOTENT = frozenset(
     {"no-answer", "connection-silent", "connection-broke", "wrong-answer"}
 )
 
 
+class _Moved(NotRun):
+    """The target stopped serving the key while the request waited for a slot."""
+
+
 class GroupDispatcher:
     """Sends a group's requests to its targets.
 
@@ -60,16 +72,16 @@
         clock: Clock,
         local_address: str | None = None,
         *,
-        log: IntentLog,
-        quarantine: Quarantine,
+        log: IntentLog | None = None,
+        quarantine: Quarantine | None = None,
         former_hosts: Iterable[str] = (),
     ) -> None:
         self._local_address = local_address
-        self._log = log
-        self._quarantine = quarantine
+        self._log = log = log or IntentLog(row.dispatcher, None, clock)
+        self._quarantine = quarantine or Quarantine()
         self._former_hosts = tuple(former_hosts)
         self._nursery: trio.Nursery | None = None
-        self._budget = RetryBudget()
+        self._retries = TokenBudget(RETRY_RATIO)
         self._suspect_locks: dict[str, trio.Lock] = {}
         self.row = row
         self.group = row.group
@@ -78,10 +90,24 @@
         self._clock = clock
         self._clients: dict[str, TargetClient] = {}
         self._lanes: dict[str, Lane] = {}
+        self._profile = Adaptive()
+        self._balancing = self._profile.balancing()
+        self._stragglers = self._profile.stragglers()
+        self._incarnations: dict[str, int] = {}
+        self._refusals = TokenBudget(REFUSAL_RATIO)
+        self._load_counter = LoadCounter(clock)
         self._changed = trio.Event()
+        # Returns whether this host's knowledge of withdrawn targets is recent enough at a time.
+        self.may_send: Callable[[float], bool] | None = None
         self._add_targets(row)
         self._grants = GrantKeeper(
-            row, generation, self._grant_seconds(), self._clients, clock, self._notify
+            row,
+            generation,
+            self._grant_seconds(),
+            self._clients,
+            clock,
+            self._notify,
+            self._on_incarnation,
         )
         self._scope = trio.CancelScope()
         known = log.lead(self.group, generation, first=row.generation == FIRST_GENERATION)
@@ -116,18 +142,52 @@
         lanes = [self._lanes[name] for name in self.row.targets if name in self._lanes]
         return sum(lane.load for lane in lanes) / len(lanes) if lanes else 0.0
 
+    def take_load(self) -> GroupLoad:
+        """Return the group's load since the last call."""
+        lanes = {name: self._lanes[name] for name in self.row.targets if name in self._lanes}
+        return self._load_counter.take(
+            lanes, self._stragglers, self._profile.drain(), self._takes_work
+        )
+
+    @property
+    def queued(self) -> int:
+        """Number of requests that wait for a slot."""
+        return sum(lane.queued for lane in self._lanes.values())
+
+    def serving(self, slice_number: int) -> Serving | None:
+        """Return which target may serve a slice now, or ``None`` if none may."""
+        return self._serving(slice_number)
+
     def lost_targets(self) -> set[str]:
         """Return the targets that count as lost."""
         return self._grants.lost_targets()
 
-    def unsettled(self) -> dict[str, tuple[int, ...]]:
-        """Return the targets that a following generation has to fence, with their slices."""
-        return self._grants.unsettled()
+    @property
+    def grant_seconds(self) -> float:
+        """Length of a grant."""
+        return self._grant_seconds()
+
+    @property
+    def unchecked(self) -> frozenset[str]:
+        """Targets that check no fences."""
+        return self._grants.unchecked()
+
+    @property
+    def leased(self) -> bool:
+        """Whether the group has targets that check no fences, so that dispatching takes a lease."""
+        return bool(self.unchecked) and bool(self.row.slices)
+
+    @property
+    def grants(self) -> GrantKeeper:
+        """The group's grants."""
+        return self._grants
 
     def update_row(self, row: GroupRow, generation: int) -> None:
         """Go on under a new row."""
         self.row = row
-        self._add_targets(row)
+        for name in self._add_targets(row):
+            # A target that joins a running dispatcher is taken to be cold.
+            self._lanes[name].on_cold()
         continues = self._log.continues(self.group, generation)
         known = self._log.lead(self.group, generation, first=False)
         if not continues:
@@ -137,7 +197,7 @@
         self._grants.update_row(row, generation, self._grant_seconds())
 
     def stop(self) -> None:
-        """Stop renewing grants; :meth:`run` then ends."""
+        """Stop renewing grants and sending new requests; :meth:`run` then ends."""
         self._grants.deposed = True
         self._scope.cancel()
         self._notify()
@@ -145,12 +205,14 @@
     async def run(self) -> None:
         """Keep the group's grants until stopped, and then wait for the requests that run."""
         try:
-            async with trio.open_nursery() as requests:
-                self._nursery = requests
-                with self._scope:
-                    async with trio.open_nursery() as nursery:
-                        nursery.start_soon(self._keep_records)
+            async with trio.open_nursery() as records:
+                records.start_soon(self._keep_records)
+                async with trio.open_nursery() as requests:
+                    self._nursery = requests
+                    with self._scope:
                         await self._grants.run()
+                await self._replicator.drain(REPORT_SECONDS)
+                records.cancel_scope.cancel()
         finally:
             for client in self._clients.values():
                 await client.aclose()
@@ -164,10 +226,11 @@
         body = await read_body(req.body, self._limits.body_bytes)
         if body is None:
             raise NotRun("body-too-large", "the body is over the limit", status=413)
-        self._budget.note_request()
+        self._refusals.earn()
+        self._retries.earn()
+        self._load_counter.count(slice_number)
         if req.idempotent:
             return await self._run(req, body, slice_number, _nothing)
-
         with trio.move_on_after(max(0.0, req.deadline - self._clock.now())):
             await self._records_ready.wait()
 
@@ -193,12 +256,12 @@
             try:
                 return await self._attempt(req, body, slice_number, print_, ready)
             except NotRun as exc:
-                if exc.reason not in _RETRIED_NOT_RUN or self._too_late(req):
+                if not self._retries_refusal(req, exc):
                     # An earlier attempt may have run, so that "not-run" would not be true.
                     raise _combined(attempted, exc) from exc
             except OutcomeOfRequestUnknown as exc:
                 retried = req.idempotent and exc.reason in _RETRIED_IDEMPOTENT
-                if not retried or self._too_late(req) or not self._budget.take():
+                if not retried or self._too_late(req) or not self._retries.spend():
                     raise
                 attempted = exc
                 decision(
@@ -206,6 +269,13 @@
                 )
             await trio.sleep(RETRY_PAUSE_SECONDS)
 
+    def _retries_refusal(self, req: Request, exc: NotRun) -> bool:
+        if isinstance(exc, _Moved):
+            return not self._too_late(req)
+        if exc.reason not in _RETRIED_NOT_RUN or self._too_late(req):
+            return False
+        return self._refusals.spend()
+
     async def _attempt(
         self,
         req: Request,
@@ -242,28 +312,65 @@
         ready: Callable[[], Awaitable[None]],
     ) -> Response:
         lane = self._lanes[serving.target]
-        await lane.acquire(req.deadline)
-        handed_over = False
+        client = self._clients[serving.target]
+        turn = await lane.acquire(req.deadline)
+        handed_over = answered = False
+
+        def release() -> None:
+            lane.release(turn, answered=answered)
+
         try:
             await ready()
             current = self._serving(slice_number, serving.target)
             if current is None:
-                raise NotRun("no-grant", "the target no longer serves the key", retry_after=1.0)
+                raise _Moved("no-grant", "the target no longer serves the key", retry_after=1.0)
             handed_over = True
-            return await self._send(req, body, slice_number, print_, current, lane)
+            incarnation = client.control.incarnation
+            resp = await self._send(req, body, slice_number, current, release)
+            answered = True
+            return resp
+        except NotRun as exc:
+            if self._shows_cold(exc.reason, serving.target):
+                lane.on_cold()
+            raise
+        except OutcomeOfRequestUnknown as exc:
+            if exc.reason == "connection-broke" and await client.control.check_death(incarnation):
+                self._note_suspect(req, print_, serving.target, incarnation)
+            raise
         finally:
             if not handed_over:
-                lane.release()
+                release()
+
+    def _note_suspect(self, req: Request, print_: int, target: str, incarnation: int) -> None:
+        death = incarnation or new_incarnation()
+        self._quarantine.note_death(print_, req.idempotency_key, death, self._clock.now())
+        decision(
+            "suspect",
+            service=req.service,
+            key_hash=key_hash(req.key),
+            target=target,
+            fingerprint=f"{print_:016x}",
+            reason="target-lost-while-running",
+        )
 
     async def _send(
         self,
         req: Request,
         body: bytes,
         slice_number: int | None,
-        print_: int,
         serving: Serving,
-        lane: Lane,
+        on_ended: Callable[[], None] = lambda: None,
     ) -> Response:
+        now = self._clock.now()
+        deadline = min(req.deadline, serving.deadline)
+        try:
+            if deadline - now < SEND_MARGIN_SECONDS:
+                raise NotRun("deadline", "the deadline passed before sending", status=504)
+            if self.may_send is not None and not self.may_send(now):
+                raise NotRun("isolated", "no recent contact with other hosts", retry_after=1.0)
+        except NotRun:
+            on_ended()
+            raise
         decision(
             "send",
             service=req.service,
@@ -275,27 +382,10 @@
             request_id=req.id,
             reason="owner" if slice_number is not None else "least-loaded",
         )
-        client = self._clients[serving.target]
-        incarnation = client.control.incarnation
-        deadline = min(req.deadline, serving.deadline)
         envelope = Envelope(self.group.group, slice_number, serving.epoch, deadline)
-        try:
-            return await client.send(req, body, envelope, lane.release)
-        except OutcomeOfRequestUnknown as exc:
-            if exc.reason == "connection-broke" and await client.control.check_death(incarnation):
-                now = self._clock.now()
-                self._quarantine.note_death(
-                    print_, req.idempotency_key, incarnation or new_incarnation(), now
-                )
-                decision(
-                    "suspect",
-                    service=req.service,
-                    key_hash=key_hash(req.key),
-                    target=serving.target,
-                    fingerprint=f"{print_:016x}",
-                    reason="target-lost-while-running",
-                )
-            raise
+        resp = await self._clients[serving.target].send(req, body, envelope, on_ended)
+        self._stragglers.on_answer(serving.target, self._clock.now() - now)
+        return resp
 
     async def _keep_records(self) -> None:
         """Get the former dispatcher's records, and then keep the standby dispatcher's copy."""
@@ -341,32 +431,64 @@
                 return None
             return serving if catalog.takes_work(serving.target) else None
         names = [target] if target else self.row.targets
-        found = [
-            serving
+        found = {
+            name: serving
             for name in names
             if catalog.takes_work(name) and (serving := self._grants.serving_any(name))
-        ]
-        return min(found, key=lambda s: self._lanes[s.target].load, default=None)
+        }
+        if not found:
+            return None
+        return found[self._balancing.pick([self._candidate(name) for name in found]).name]
+
+    def _candidate(self, name: str) -> Candidate:
+        state = self._lanes[name].state
+        now = self._clock.now()
+        slowness = self._stragglers.slowness(name, state.stuck_seconds(now))
+        return Candidate(name, state.outstanding, state.bound(now), slowness)
 
-    def _add_targets(self, row: GroupRow) -> None:
+    def _shows_cold(self, reason: str, target: str) -> bool:
+        """Return whether a refusal is evidence of a cold start.
+
+        A failed connection is, unless grants already name the target's incarnation.
+        """
+        spec = self._clients[target].spec
+        return reason == "cold" or (reason == "connect-failed" and not spec.checks_fences)
+
+    def _on_incarnation(self, target: str, incarnation: int) -> None:
+        known = self._incarnations.setdefault(target, incarnation)
+        if known != incarnation:
+            self._incarnations[target] = incarnation
+            self._lanes[target].on_cold()
+
+    def _takes_work(self, target: str) -> bool:
+        return self._directory.catalog.takes_work(target) and target not in self.lost_targets()
+
+    def _add_targets(self, row: GroupRow) -> list[str]:
+        """Make the lanes of a row's targets and return the names of the new ones."""
+        added = []
         for name in (*row.targets, *row.unfenced):
             target = self._directory.catalog.targets.get(name)
             if target is not None and name not in self._lanes:
                 limit = self._limits.queue_per_target
-                self._lanes[name] = Lane(target.slots, limit, self._clock)
+                state = self._profile.lane(
+                    target.slots, target.cold_slots, target.cold_seconds, limit
+                )
+                self._lanes[name] = Lane(state, self._clock)
+                added.append(name)
                 self._clients[name] = TargetClient(
                     target, self._local_address, clock=self._clock, spawn=self._spawn
                 )
+        return added
 
     def _grant_seconds(self) -> float:
         return self._directory.catalog.services[self.group.service].grant_seconds
 
     def _notify(self) -> None:
         if not self._horizon.known:
-            now = self._clock.now()
             numbers = self.row.slices or ([None] if self._grants.all_fenced() else [])
             self._horizon.note_served(
-                [n for n in numbers if n is None or self._serving(n) is not None], now
+                [n for n in numbers if n is None or self._serving(n) is not None],
+                self._clock.now(),
             )
         self._changed.set()
         self._changed = trio.Event()
--- a/radishshunt/dispatch/replication.py
+++ b/radishshunt/dispatch/replication.py
@@ -132,6 +132,12 @@
         if failing is not None and self._clock.now() - failing > FAILING_SECONDS:
             raise _no_standby()
 
+    async def drain(self, seconds: float) -> None:
+        """Wait until no record is pending, at most for a time in seconds."""
+        with trio.move_on_after(seconds):
+            while self._pending:
+                await trio.sleep(RETRY_PAUSE_SECONDS / 5)
+
     async def run(self) -> None:
         """Send records until cancelled."""
         while True:
--- a/radishshunt/emulator/history.py
+++ b/radishshunt/emulator/history.py
@@ -15,6 +15,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
+    from radishshunt.emulator.grants import TargetGrants
+
 # Header by which a caller's attempt is found again among the executions.
 CALL_HEADER = "Emulator-Call"
 NON_IDEMPOTENT_METHODS = frozenset({"POST", "PATCH"})
@@ -64,6 +66,41 @@
     until: float
 
 
+class GrantLog:
+    """Records when a target holds grants, from the state that its requests are checked against."""
+
+    def __init__(self, target: str) -> None:
+        self._target = target
+        self._open: dict[tuple[str, int], GrantRecord] = {}
+        self.records: list[GrantRecord] = []
+
+    def update(self, service: str, grants: TargetGrants, now: float) -> None:
+        """Take the state after a grant or a fence for a service.
+
+        :param now: Seconds since the Unix epoch.
+        """
+        held = grants.held(service, now)
+        for at, record in list(self._open.items()):
+            if at[0] == service and held.get(at[1], (0, 0.0))[0] != record.epoch:
+                record.until = min(record.until, now)
+                del self._open[at]
+        for number, (epoch, deadline) in held.items():
+            record = self._open.get((service, number))
+            if record is None or record.until < now:
+                record = GrantRecord(
+                    self._target, grants.incarnation, service, number, epoch, now, deadline
+                )
+                self._open[service, number] = record
+                self.records.append(record)
+            record.until = deadline
+
+    def end_all(self, now: float) -> None:
+        """Take the end of the target's process."""
+        for record in self._open.values():
+            record.until = min(record.until, now)
+        self._open.clear()
+
+
 @dataclass(frozen=True, slots=True)
 class CallerAnswer:
     """What a caller saw of one attempt.
--- a/radishshunt/emulator/target.py
+++ b/radishshunt/emulator/target.py
@@ -4,18 +4,20 @@
 
 import json
 from collections import OrderedDict
-from dataclasses import asdict, dataclass, field, fields
+from dataclasses import asdict, dataclass, fields
 from typing import TYPE_CHECKING
 
 import trio
 from quart import Response, request
 from quart_trio import QuartTrio
 
-from radishshunt.emulator.history import CALL_HEADER, Execution, GrantRecord
+from radishshunt.emulator.grants import Rejected, TargetGrants
+from radishshunt.emulator.history import CALL_HEADER, Execution, GrantLog
 from radishshunt.model import new_incarnation
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator, Callable, Mapping
+    from typing import BinaryIO
 
     from radishshunt.clock import Clock
 
@@ -24,22 +26,6 @@
 CANCELLED_KEPT = 1000
 
 
-@dataclass(slots=True)
-class GroupFence:
-    """What a target remembers of a group.
-
-    :param generation: Lowest generation that it accepts.
-    :param slices: Epoch of each granted slice.
-    :param deadline: End of the grant, seconds since the Unix epoch.
-    """
-
-    generation: int = 0
-    granted_generation: int = 0
-    slices: dict[int, int] = field(default_factory=dict)
-    deadline: float = 0.0
-    held_standby: set[int] = field(default_factory=set)
-
-
 @dataclass(slots=True)
 class Behaviour:
     """How a target works, switchable at any time.
@@ -68,6 +54,8 @@
     """One stand-in target.
 
     :param checks_fences: Whether it refuses requests without a valid grant.
+    :param journal: Unbuffered file for a JSON line at each start and end of a request, which
+        outlives the process.
     :param on_crash: Ends the process, or what stands for it, without an answer.
     """
 
@@ -78,6 +66,7 @@
         clock: Clock,
         *,
         checks_fences: bool = True,
+        journal: BinaryIO | None = None,
         on_crash: Callable[[], None] = lambda: None,
     ) -> None:
         self.name = name
@@ -85,13 +74,15 @@
         self.checks_fences = checks_fences
         self.behaviour = Behaviour()
         self.executions: list[Execution] = []
-        self.grants: list[GrantRecord] = []
+        # Idempotency key and start of every request begun, also of those that a kill cut off.
+        self.starts: list[tuple[str, float]] = []
         self.most_at_once = 0
         self.ports: set[int] = set()
+        self.grant_log = GrantLog(name)
         self._on_crash = on_crash
         self._cancelled: OrderedDict[str, None] = OrderedDict()
         self._clock = clock
-        self._running: dict[str, tuple[tuple[str, int], int, int, float]] = {}
+        self._journal = journal
         self._scopes: dict[str, trio.CancelScope] = {}
         self.restart()
         self.app = self._build_app()
@@ -99,13 +90,11 @@
     def restart(self) -> None:
         """Forget all grants and fences, as a new process would."""
         now = self._clock.now()
-        for grant in self.grants:
-            grant.until = min(grant.until, now)
+        self.grant_log.end_all(now)
         for execution in self.executions:
             execution.ended_at = execution.ended_at or now
         self.incarnation = new_incarnation()
-        self._groups: dict[tuple[str, int], GroupFence] = {}
-        self._open_grants: dict[tuple[str, int], GrantRecord] = {}
+        self._grants = TargetGrants(self.incarnation)
 
     def _build_app(self) -> QuartTrio:
         app = QuartTrio(f"radishshunt.emulator.target.{self.name}", static_folder=None)
@@ -138,7 +127,7 @@
                 "target": self.name,
                 "incarnation": self.incarnation,
                 "executions": [asdict(execution) for execution in self.executions],
-                "grants": [asdict(grant) for grant in self.grants],
+                "grants": [asdict(grant) for grant in self.grant_log.records],
                 "most_at_once": self.most_at_once,
             }
         )
@@ -158,73 +147,42 @@
 
     async def _fence(self) -> Response:
         doc = await request.get_json()
-        key = (doc["service"], doc["group"])
-        fence = self._groups.setdefault(key, GroupFence())
-        if doc["generation"] < fence.generation:
-            return self._rejected("fenced")
-        if doc["generation"] > fence.generation:
-            self._end_grants(doc["service"], fence.slices)
-        fence.generation = doc["generation"]
-        busy = [
-            deadline
-            for group, generation, _slice, deadline in self._running.values()
-            if group == key and generation < doc["generation"]
-        ]
+        group = (doc["service"], doc["group"])
+        try:
+            result = self._grants.fence(group, doc["generation"], doc.get("slices", ()))
+        except Rejected as exc:
+            return self._rejected(exc.reason)
+        self.grant_log.update(doc["service"], self._grants, self._clock.now())
         return _json(
             {
                 "incarnation": self.incarnation,
-                "held_standby": sorted(fence.held_standby),
-                "busy_until": max(busy, default=0.0),
+                "held_standby": result.held_standby,
+                "busy": {str(number): deadline for number, deadline in result.busy.items()},
+                "busy_until": max(result.busy.values(), default=0.0),
             }
         )
 
     async def _grant(self) -> Response:
         doc = await request.get_json()
-        if doc["incarnation"] != self.incarnation:
-            return self._rejected("incarnation")
-        fence = self._groups.setdefault((doc["service"], doc["group"]), GroupFence())
-        generation = doc["generation"]
-        if generation < fence.generation:
-            return self._rejected("fenced")
-        if generation > fence.granted_generation:
-            fence.held_standby = set()
-            fence.deadline = 0.0
-        fence.generation = fence.granted_generation = generation
-        former = fence.slices
-        fence.slices = dict.fromkeys(doc["owned"], generation * 2)
-        fence.slices.update(dict.fromkeys(doc["taken_over"], generation * 2 + 1))
-        fence.held_standby.update(doc["taken_over"])
-        fence.deadline = max(fence.deadline, doc["deadline"])
-        self._record_grants(doc["service"], former, fence)
-        return _json({"incarnation": self.incarnation})
-
-    def _record_grants(self, service: str, former: dict[int, int], fence: GroupFence) -> None:
-        now = self._clock.now()
-        ended = {n: epoch for n, epoch in former.items() if fence.slices.get(n) != epoch}
-        self._end_grants(service, ended)
-        for number, epoch in fence.slices.items():
-            record = self._open_grants.get((service, number))
-            if record is not None and record.epoch == epoch and record.until >= now:
-                record.until = fence.deadline
-                continue
-            record = GrantRecord(
-                self.name, self.incarnation, service, number, epoch, now, fence.deadline
+        try:
+            self._grants.grant(
+                (doc["service"], doc["group"]),
+                doc["generation"],
+                doc["incarnation"],
+                doc["owned"],
+                doc["taken_over"],
+                doc["deadline"],
             )
-            self._open_grants[service, number] = record
-            self.grants.append(record)
-
-    def _end_grants(self, service: str, slices: dict[int, int]) -> None:
-        now = self._clock.now()
-        for number in slices:
-            record = self._open_grants.pop((service, number), None)
-            if record is not None:
-                record.until = min(record.until, now)
+        except Rejected as exc:
+            return self._rejected(exc.reason)
+        self.grant_log.update(doc["service"], self._grants, self._clock.now())
+        return _json({"incarnation": self.incarnation})
 
     async def _health(self) -> Response:
         return _json({"status": "ok", "incarnation": self.incarnation})
 
     async def _load(self) -> Response:
-        return _json({"running": len(self._running), "slots": self.slots})
+        return _json({"running": self._grants.running, "slots": self.slots})
 
     async def _cancel(self, request_id: str) -> Response:
         """Cancel a request; one that has not arrived yet is refused when it does."""
@@ -238,7 +196,7 @@
         return Response(b"", status=404)
 
     async def _state(self, request_id: str) -> Response:
-        running = request_id in self._running
+        running = request_id in self._scopes
         return _json({"running": running, "incarnation": self.incarnation})
 
     async def _work(self, path: str) -> Response:
@@ -256,7 +214,7 @@
         if self.behaviour.crash_on and self.behaviour.crash_on in path:
             self._on_crash()
             await trio.sleep_forever()
-        if await self._execute(execution, deadline):
+        if await self._execute(execution, headers, deadline):
             resp = self._answer(execution, f"/{path}", len(body))
         else:
             resp = Response("the deadline passed", status=504)
@@ -266,7 +224,7 @@
             resp.headers["Radishshunt-Request-Id"] = "another-request"
         return resp
 
-    def _begin(self, headers: dict[str, str]) -> Execution:
+    def _begin(self, headers: Mapping[str, str]) -> Execution:
         execution = Execution(
             target=self.name,
             incarnation=self.incarnation,
@@ -281,14 +239,19 @@
             started_at=self._clock.now(),
         )
         self.executions.append(execution)
+        self.starts.append((execution.idempotency_key, execution.started_at))
+        self._write_journal("start", execution.request_id, headers, execution.slice)
         return execution
 
-    async def _execute(self, execution: Execution, deadline: float) -> bool:
+    async def _execute(
+        self, execution: Execution, headers: Mapping[str, str], deadline: float
+    ) -> bool:
         """Run a request and return whether it came to its end."""
-        group = (execution.service, int(request.headers.get("Radishshunt-Group", "0")))
-        request_id = execution.request_id
-        self._running[request_id] = (group, execution.epoch // 2, execution.slice, deadline)
-        self.most_at_once = max(self.most_at_once, len(self._running))
+        group = (execution.service, int(headers.get("Radishshunt-Group", "0")))
+        request_id, number = execution.request_id, execution.slice
+        grants = self._grants
+        grants.start(request_id, group, number if number >= 0 else None, execution.epoch, deadline)
+        self.most_at_once = max(self.most_at_once, grants.running)
         scope = self._scopes[request_id] = trio.CancelScope(
             deadline=trio.current_time() + max(0.0, deadline - self._clock.now())
         )
@@ -298,8 +261,9 @@
                 execution.complete = True
         finally:
             execution.ended_at = execution.ended_at or self._clock.now()
-            del self._running[request_id]
+            grants.finish(request_id)
             del self._scopes[request_id]
+            self._write_journal("end", request_id, headers, number)
         return execution.complete
 
     def _answer(self, execution: Execution, path: str, body_bytes: int) -> Response:
@@ -322,6 +286,25 @@
             resp.headers["Content-Length"] = str(len(data))
         return resp
 
+    def _write_journal(
+        self, event: str, request_id: str, headers: Mapping[str, str], number: int
+    ) -> None:
+        if self._journal is None:
+            return
+        doc = {
+            "event": event,
+            "at": self._clock.now(),
+            "target": self.name,
+            "incarnation": self.incarnation,
+            "request_id": request_id,
+            "service": headers.get("Radishshunt-Service", ""),
+            "key": headers.get("Radishshunt-Key", ""),
+            "idempotency_key": headers.get("Idempotency-Key", ""),
+            "epoch": int(headers.get("Radishshunt-Epoch", "0")),
+            "slice": number,
+        }
+        self._journal.write(json.dumps(doc).encode() + b"\n")
+
     def _refusal(self, headers: dict[str, str], deadline: float) -> str | None:
         if headers.get("Radishshunt-Request-Id", "") in self._cancelled:
             return "cancelled"
@@ -329,17 +312,13 @@
             return "deadline"
         if not self.checks_fences or "Radishshunt-Epoch" not in headers:
             return None
-        key = (headers["Radishshunt-Service"], int(headers["Radishshunt-Group"]))
-        fence = self._groups.get(key)
-        epoch = int(headers["Radishshunt-Epoch"])
-        if fence is None or self._clock.now() >= fence.deadline:
-            return "no-grant"
-        if epoch // 2 != fence.generation or fence.granted_generation != fence.generation:
-            return "wrong-epoch"
         number = headers.get("Radishshunt-Slice")
-        if number is not None and fence.slices.get(int(number)) != epoch:
-            return "wrong-epoch"
-        return None
+        return self._grants.refusal(
+            (headers["Radishshunt-Service"], int(headers["Radishshunt-Group"])),
+            int(number) if number is not None else None,
+            int(headers["Radishshunt-Epoch"]),
+            self._clock.now(),
+        )
 
     def _rejected(self, reason: str) -> Response:
         resp = _json({"reason": reason, "incarnation": self.incarnation})
--- a/radishshunt/forwarding.py
+++ b/radishshunt/forwarding.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from radishshunt.memory import BodyLease
     from radishshunt.model import GroupId, Request, Response
     from radishshunt.wire.connection import Stream
     from radishshunt.wire.messages import Message
@@ -175,6 +176,16 @@
         yield msg.data
 
 
+async def leased(body: AsyncIterator[bytes], lease: BodyLease) -> AsyncIterator[bytes]:
+    """Yield a body and count its memory.
+
+    :raises NotRun: If there is no memory for it.
+    """
+    async for data in body:
+        lease.add(len(data))
+        yield data
+
+
 async def send_answer(stream: Stream, resp: Response, seconds: float) -> None:
     """Send an answer to the entry host.
 
--- a/radishshunt/intent_log.py
+++ b/radishshunt/intent_log.py
@@ -43,10 +43,15 @@
     """Records of this host as dispatcher and as standby dispatcher.
 
     :param me: This run of this host.
+    :param network: Connections to other hosts; without them nothing is exchanged.
     """
 
     def __init__(
-        self, me: HostRef, network: PeerNetwork, clock: Clock, store: IntentStore | None = None
+        self,
+        me: HostRef,
+        network: PeerNetwork | None,
+        clock: Clock,
+        store: IntentStore | None = None,
     ) -> None:
         self.me = me
         self.store = store or IntentStore()
@@ -55,8 +60,9 @@
         self._groups: dict[GroupId, GroupRecords] = {}
         self._pages: dict[tuple[GroupId, int], list[list[Intent]]] = {}
         self._changed = trio.Event()
-        network.register(Intents, self._serve)
-        network.register(IntentFetch, self._serve_fetch)
+        if network is not None:
+            network.register(Intents, self._serve)
+            network.register(IntentFetch, self._serve_fetch)
 
     def lowest_generation(self, group: GroupId) -> int:
         """Return the lowest generation that may still record new requests."""
--- a/radishshunt/router.py
+++ b/radishshunt/router.py
@@ -21,19 +21,21 @@
     RequestSender,
     failure_of,
     head_of,
+    leased,
     request_body,
     send_answer,
 )
 from radishshunt.hashing import key_hash, preferred, slice_of
 from radishshunt.logs import decision
 from radishshunt.model import GroupId, Request, Response
-from radishshunt.retries import RetryBudget
+from radishshunt.policy.budgets import RETRY_RATIO, TokenBudget
 from radishshunt.wire.messages import RequestHead
 
 if TYPE_CHECKING:
     from radishshunt.clock import Clock
     from radishshunt.directory import Directory, Location
     from radishshunt.dispatch.manager import DispatchManager
+    from radishshunt.memory import BodyLease, BodyMemory
     from radishshunt.metrics import Metrics
     from radishshunt.peers import PeerNetwork
     from radishshunt.wire.connection import PeerConnection, Stream
@@ -59,6 +61,7 @@
         network: PeerNetwork,
         clock: Clock,
         metrics: Metrics,
+        memory: BodyMemory,
         random: Random | None = None,
     ) -> None:
         self._host = host
@@ -67,8 +70,9 @@
         self._network = network
         self._clock = clock
         self._metrics = metrics
+        self._memory = memory
         self._random = random or Random()
-        self._budget = RetryBudget()
+        self._budget = TokenBudget(RETRY_RATIO)
         network.register(RequestHead, self._serve_peer)
 
     async def route(self, req: Request) -> Response:
@@ -79,7 +83,9 @@
         """
         if req.service not in self._directory.catalog.services:
             raise NotRun("unknown-service", f"there is no service {req.service}", status=404)
-        self._budget.note_request()
+        if self._directory.catalog.services[req.service].keyed and not req.key:
+            raise NotRun("no-key", f"service {req.service} needs a key", status=400)
+        self._budget.earn()
         body = ReplayableBody(req.body)
         attempted: OutcomeOfRequestUnknown | None = None
         location: Location | None = None
@@ -101,7 +107,7 @@
             except OutcomeOfRequestUnknown as exc:
                 if exc.reason != _LOST or self._too_late(req):
                     raise
-                if req.idempotent and not (body.replayable and self._budget.take()):
+                if req.idempotent and not (body.replayable and self._budget.spend()):
                     raise
                 attempted = exc
                 decision(
@@ -199,6 +205,13 @@
 
     async def _serve_peer(self, _conn: PeerConnection, stream: Stream, msg: Message) -> None:
         assert isinstance(msg, RequestHead)
+        lease = self._memory.lease()
+        try:
+            await self._serve_forwarded(stream, msg, lease)
+        finally:
+            lease.close()
+
+    async def _serve_forwarded(self, stream: Stream, msg: RequestHead, lease: BodyLease) -> None:
         req = Request(
             id=msg.id,
             service=msg.service,
@@ -206,7 +219,7 @@
             method=msg.method,
             path=msg.path,
             headers=msg.headers,
-            body=request_body(stream),
+            body=leased(request_body(stream), lease),
             deadline=msg.deadline,
             idempotency_key=msg.idempotency_key,
             query=msg.query,
@@ -219,6 +232,7 @@
             group = GroupId(msg.service, msg.group)
             resp = await self._handle_here(req, group, number)
         except RequestError as exc:
+            lease.close()
             await stream.send(failure_of(exc))
             return
         await send_answer(stream, resp, max(MIN_ANSWER_SECONDS, req.deadline - self._clock.now()))
--- a/radishshunt/targets.py
+++ b/radishshunt/targets.py
@@ -8,7 +8,7 @@
 import httpx
 import trio
 
-from radishshunt.answers import HOP_HEADERS, REQUEST_ID_HEADER, TargetAnswer
+from radishshunt.answers import REQUEST_ID_HEADER, TargetAnswer
 from radishshunt.clock import CLOCK_SKEW_BOUND, Clock, SystemClock
 from radishshunt.connections import Connection, ConnectionPool, NoConnectionFree
 from radishshunt.control import (
@@ -18,12 +18,13 @@
     TargetUnreachable,
 )
 from radishshunt.errors import NotRun, OutcomeOfRequestUnknown
+from radishshunt.util.headers import HOP_HEADERS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from radishshunt.model import Request, Response
-    from radishshunt.ownership import Fence, Grant
+    from radishshunt.ownership_state import Fence, Grant
     from radishshunt.release.catalog import TargetSpec
 
 __all__ = ["Envelope", "GrantRejected", "TargetClient", "TargetUnreachable"]
@@ -141,30 +142,26 @@
         if left <= SEND_MARGIN_SECONDS:
             raise _TooLate
 
-        async def trace(name: str, _info: dict) -> None:
-            # Called after the connection stands and right before the first byte is written.
-            if name == "http11.send_request_headers.started":
-                if self._clock.now() + SEND_MARGIN_SECONDS >= envelope.deadline:
-                    raise _TooLate
-                progress.sent = True
-
-        # The path goes out as it came: httpx would take "//name/" or "http://name/" for a host.
-        target = req.path.encode("latin-1")
-        request = conn.client.build_request(
-            req.method,
-            "/",
-            content=body,
-            headers=_headers(req, envelope),
-            timeout=httpx.Timeout(left, connect=min(CONNECT_TIMEOUT_SECONDS, left)),
-            extensions={"trace": trace, "target": target},
-        )
+        def before_send() -> None:
+            if self._clock.now() + SEND_MARGIN_SECONDS >= envelope.deadline:
+                raise _TooLate
+            progress.sent = True
+
         resp: httpx.Response | None = None
         failure: Exception | None = None
         with trio.fail_after(left):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._watch, req.id, progress, nursery.cancel_scope)
                 try:
-                    resp = await conn.client.send(request, stream=True)
+                    resp = await conn.transport.request(
+                        req.method,
+                        req.path.encode("latin-1"),
+                        _headers(req, self.spec.address, envelope, body),
+                        body,
+                        seconds=left,
+                        connect_seconds=min(CONNECT_TIMEOUT_SECONDS, left),
+                        before_send=before_send,
+                    )
                 except (httpx.HTTPError, _TooLate) as exc:
                     failure = exc
                     progress.arrived = not isinstance(exc, httpx.TimeoutException)
@@ -283,8 +280,13 @@
         return answer.response()
 
 
-def _headers(req: Request, envelope: Envelope) -> list[tuple[str, str]]:
-    headers = [(n, v) for n, v in req.headers if n not in HOP_HEADERS]
+def _headers(
+    req: Request, address: str, envelope: Envelope, body: bytes
+) -> list[tuple[bytes, bytes]]:
+    headers = [("host", address)]
+    headers += [(n, v) for n, v in req.headers if n not in HOP_HEADERS]
+    if body or req.method in ("POST", "PUT", "PATCH"):
+        headers.append(("content-length", str(len(body))))
     headers += [
         (REQUEST_ID_HEADER, req.id),
         ("radishshunt-service", req.service),
@@ -297,4 +299,5 @@
         headers.append(("radishshunt-slice", str(envelope.slice)))
     if req.idempotency_key:
         headers.append(("idempotency-key", req.idempotency_key))
-    return headers
+    # Not ASCII, since values may hold any byte (RFC 9110, section 5.5).
+    return [(name.encode("latin-1"), value.encode("latin-1")) for name, value in headers]
--- a/radishshunt/wire/codec.py
+++ b/radishshunt/wire/codec.py
@@ -24,9 +24,12 @@
     Intent,
     IntentFetch,
     Intents,
+    Member,
     Message,
+    Notice,
     Probe,
     ProbeAnswer,
+    Pulse,
     RequestHead,
     ResponseHead,
     Suspect,
@@ -63,6 +66,10 @@
         ),
     ),
     Probe: ("probe", (("host", "host"),)),
+    Pulse: (
+        "pulse",
+        (("sent_at", "sentAt"), ("echo", "echo"), ("catalog_version", "catalogVersion")),
+    ),
     ProbeAnswer: ("probeAnswer", (("heard_at", "heardAt"),)),
     Document: ("document", (("name", "name"), ("version", "version"), ("content", "content"))),
     IntentFetch: (
@@ -74,6 +81,16 @@
             ("sequence", "sequence"),
         ),
     ),
+    Notice: (
+        "notice",
+        (
+            ("kind", "kind"),
+            ("service", "service"),
+            ("group", "group"),
+            ("generation", "generation"),
+            ("deadline", "deadline"),
+        ),
+    ),
     Announce: ("announce", (("name", "name"), ("version", "version"), ("content", "content"))),
 }
 _PLAIN_BY_NAME = {name: (cls, fields) for cls, (name, fields) in _PLAIN.items()}
@@ -216,6 +233,17 @@
     part.catalogVersion = msg.catalog_version
     part.leaving = msg.leaving
     part.sentAt = msg.sent_at
+    part.platformSeenAt = msg.platform_seen_at
+    part.rowsDigest = msg.rows_digest
+    part.membersDigest = msg.members_digest
+    part.echo = msg.echo
+    for item, member in zip(part.init("members", len(msg.members)), msg.members, strict=True):
+        item.host = member.host
+        item.incarnation = member.incarnation
+        item.domain = member.domain
+        item.address = member.address
+        item.state = int(member.state)
+        item.at = member.at
     for item, group in zip(part.init("groups", len(msg.groups)), msg.groups, strict=True):
         item.service = group.service
         item.group = group.group
@@ -242,6 +270,13 @@
         ],
         leaving=part.leaving,
         sent_at=part.sentAt,
+        platform_seen_at=part.platformSeenAt,
+        rows_digest=part.rowsDigest,
+        members_digest=part.membersDigest,
+        members=[
+            Member(m.host, m.incarnation, m.domain, m.address, m.state, m.at) for m in part.members
+        ],
+        echo=part.echo,
     )
 
 
--- a/tests/support/memory_target.py
+++ b/tests/support/memory_target.py
@@ -18,22 +18,23 @@
 
 
 class _Socket:
-    """Stands for the socket of a memory stream where httpcore asks whether it is readable."""
+    """Stands for the socket of a memory stream."""
+
+    def __init__(self, stream: _ClientStream) -> None:
+        self._stream = stream
 
     def is_readable(self) -> bool:
         return False
 
+    def close(self) -> None:
+        self._stream.close()
+
 
 class _ClientStream(trio.abc.Stream):
     def __init__(self, inner: trio.abc.Stream, on_close: Callable[[], None]) -> None:
         self._inner = inner
         self._on_close: Callable[[], None] | None = on_close
-        self.socket = _Socket()
-
-    @property
-    def __class__(self) -> type:
-        # httpcore asserts that a stream is a SocketStream, which cannot be subclassed.
-        return trio.SocketStream
+        self.socket = _Socket(self)
 
     def setsockopt(self, *_option: object) -> None:
         pass
@@ -47,11 +48,16 @@
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         return await self._inner.receive_some(max_bytes)
 
-    async def aclose(self) -> None:
+    def close(self) -> None:
         if self._on_close is not None:
             self._on_close()
             self._on_close = None
-        await self._inner.aclose()
+        self._inner.send_stream.close()
+        self._inner.receive_stream.close()
+
+    async def aclose(self) -> None:
+        self.close()
+        await trio.lowlevel.checkpoint()
 
 
 class Exchange:
--- a/tests/support/system.py
+++ b/tests/support/system.py
@@ -79,7 +79,7 @@
             self._start_relay()
         self.start("platform", "emulate", "platform", f"127.{net}.0.1:7000")
         for name, address in self.targets.items():
-            options = self.deployment.target_options
+            options = ("--journal", str(self.journal(name)), *self.deployment.target_options)
             self.start(name, "emulate", "target", name, address, *options)
         self.wait_for(f"http://127.{net}.0.1:7000/emulator/counts")
         self.client.put(self.platform_url("/emulator/hosts"), json={"hosts": entries})
@@ -88,6 +88,10 @@
         for name in self.hosts:
             self.wait_for(self.admin_url(name, "/healthz"))
 
+    def journal(self, target: str) -> Path:
+        """Return the file in which a target records its executions."""
+        return self.directory / f"{target}.journal"
+
     def start(self, name: str, *args: str) -> None:
         """Start a part."""
         self._arguments[name] = args
@@ -238,9 +242,17 @@
         while time.monotonic() < started_at + seconds:
             if condition():
                 return time.monotonic() - started_at
+            self._check_running()
             time.sleep(POLL_SECONDS)
         raise AssertionError(f"{what}: not within {seconds} s\n{self.logs()}")
 
+    def _check_running(self) -> None:
+        """Fail early if a part ended by itself, for example because its address is in use."""
+        for name, process in self.processes.items():
+            if process.poll() is not None:
+                log = (self.directory / f"{name}.log").read_text(errors="replace")
+                raise AssertionError(f"{name} ended with {process.returncode}:\n{log[-2000:]}")
+
     def logs(self, lines: int = 15) -> str:
         """Return the last log lines of each host, for messages."""
         parts = []
--- a/tests/test_router/test_router_dispatcher_loss.py
+++ b/tests/test_router/test_router_dispatcher_loss.py
@@ -13,6 +13,7 @@
 from radishshunt.directory import Directory
 from radishshunt.errors import NotOwner, NotRun, OutcomeOfRequestUnknown, ProtocolError
 from radishshunt.forwarding import ReplayableBody
+from radishshunt.memory import BodyMemory
 from radishshunt.metrics import Metrics
 from radishshunt.model import (
     GroupId,
@@ -85,6 +86,7 @@
             self.network,
             SystemClock(),
             Metrics(),
+            BodyMemory(1 << 28),
         )
 
 
