--- a/radishshunt/dispatch/group.py
+++ b/radishshunt/dispatch/group.py
@@ -284,6 +284,7 @@
         print_: int,
         ready: Callable[[], Awaitable[None]],
     ) -> Response:
+        self._quarantine.check(print_, req.idempotency_key, self._clock.now())
         serving = await self._wait_serving(slice_number, req.deadline)
         now = self._clock.now()
         self._quarantine.check(print_, req.idempotency_key, now)
--- a/radishshunt/dispatch/once.py
+++ b/radishshunt/dispatch/once.py
@@ -20,6 +20,7 @@
     ANSWERED,
     MAX_ANSWER_BYTES,
     NOT_RUN,
+    QUEUED,
     RAN,
     SENT,
     UNKNOWN,
@@ -32,7 +33,7 @@
     from collections.abc import AsyncIterator, Awaitable, Callable
 
     from radishshunt.clock import Clock
-    from radishshunt.dispatch.replication import Replicator
+    from radishshunt.dispatch.replication import Replicator, Ticket
     from radishshunt.intent_log import IntentLog
     from radishshunt.intents import KnowledgeHorizon
     from radishshunt.model import GroupId, Request
@@ -52,11 +53,13 @@
 class _Run:
     """A request that is being run here.
 
+    :ivar ticket: Its record on the way to the standby dispatcher, once it has a slot.
     :ivar stream: Answer too large to record, for the one waiter who takes it.
     :ivar ready: Set when there is a record, an error or a stream.
     """
 
     record: Intent
+    ticket: Ticket | None = None
     scope: trio.CancelScope = field(default_factory=trio.CancelScope)
     ready: trio.Event = field(default_factory=trio.Event)
     done: trio.Event = field(default_factory=trio.Event)
@@ -154,7 +157,7 @@
             idempotency_key=req.record_key,
             fingerprint=print_,
             created_at=now,
-            state=SENT,
+            state=QUEUED,
         )
         self._log.store.add(record, now)
         run = self._runs[req.record_key] = _Run(record)
@@ -167,11 +170,18 @@
         return run
 
     async def _execute(self, run: _Run, req: Request, body: bytes, send: Send) -> None:
-        ticket = self._replicator.submit(run.record)
         sent = False
 
         async def before_send() -> None:
             nonlocal sent
+            # Not before the request has a slot: if the dispatcher is lost, requests that were
+            # still queued have no record, and the next dispatcher can run them.
+            if run.record.state == QUEUED:
+                run.record = replace(run.record, state=SENT)
+                self._log.store.add(run.record, self._clock.now())
+                run.ticket = self._replicator.submit(run.record)
+            ticket = run.ticket
+            assert ticket is not None
             await self._replicator.wait(ticket, req.deadline)
             sent = True
 
@@ -190,7 +200,7 @@
                     logger.exception("running a request of %s failed", self._group)
                     run.error = OutcomeOfRequestUnknown("internal", repr(exc), status=500)
         finally:
-            if run.record.state == SENT:
+            if run.record.state in (QUEUED, SENT):
                 if run.error is None:
                     # Cancelled: before the record was taken nothing was sent.
                     state = UNKNOWN if sent else NOT_RUN
@@ -281,7 +291,8 @@
     def _settle(self, run: _Run, record: Intent) -> None:
         run.record = record
         self._log.settle(record)
-        self._replicator.submit(record)
+        if run.ticket is not None:
+            self._replicator.submit(record)
 
     def _spawn_quietly(self, *args: object) -> None:
         try:
--- a/radishshunt/emulator/target.py
+++ b/radishshunt/emulator/target.py
@@ -34,7 +34,7 @@
     :param slowdown: Factor on the service time.
     :param frozen: Take requests and never answer.
     :param silent_ports: Peer ports of connections that have gone silent; others work.
-    :param crossed: Answer that many requests with the id of another request.
+    :param crossed: Give that many requests the answer of the request before.
     :param truncated: Cut that many answers in the middle of their body.
     :param crash_on: Requests whose path holds this text end the process; empty for none.
     :param answer_bytes: Size of the filling in answers.
@@ -80,6 +80,7 @@
         self.ports: set[int] = set()
         self.grant_log = GrantLog(name)
         self._on_crash = on_crash
+        self._last_answer: dict | None = None
         self._cancelled: OrderedDict[str, None] = OrderedDict()
         self._clock = clock
         self._journal = journal
@@ -218,10 +219,7 @@
             resp = self._answer(execution, f"/{path}", len(body))
         else:
             resp = Response("the deadline passed", status=504)
-        resp.headers["Radishshunt-Request-Id"] = request_id
-        if self.behaviour.crossed > 0:
-            self.behaviour.crossed -= 1
-            resp.headers["Radishshunt-Request-Id"] = "another-request"
+            resp.headers["Radishshunt-Request-Id"] = request_id
         return resp
 
     def _begin(self, headers: Mapping[str, str]) -> Execution:
@@ -278,12 +276,18 @@
         }
         if self.behaviour.answer_bytes:
             doc["filling"] = "x" * self.behaviour.answer_bytes
+        former, self._last_answer = self._last_answer, doc
+        if self.behaviour.crossed > 0 and former is not None:
+            self.behaviour.crossed -= 1
+            doc = former
         resp = _json(doc)
+        resp.headers["Radishshunt-Request-Id"] = doc["request_id"]
         if self.behaviour.truncated > 0:
             self.behaviour.truncated -= 1
             data = json.dumps(doc).encode()
             resp = Response(_cut_body(data), content_type="application/json")
             resp.headers["Content-Length"] = str(len(data))
+            resp.headers["Radishshunt-Request-Id"] = doc["request_id"]
         return resp
 
     def _write_journal(
--- a/radishshunt/intents.py
+++ b/radishshunt/intents.py
@@ -30,6 +30,8 @@
 BATCH_RECORDS = 256
 BATCH_BYTES = 512 * 1024
 
+# Waits for a slot at the dispatcher; known nowhere else, so that its loss leaves no record.
+QUEUED = "queued"
 SENT = "sent"
 ANSWERED = "answered"
 RAN = "ran"
@@ -94,8 +96,12 @@
         return self._records.get((service, key))
 
     def of_group(self, service: str, group: int) -> list[Intent]:
-        """Return the records of a group, in order of their creation."""
-        return [r for r in self._records.values() if (r.service, r.group) == (service, group)]
+        """Return the records of a group's sent requests, in order of their creation."""
+        return [
+            record
+            for record in self._records.values()
+            if (record.service, record.group) == (service, group) and record.state != QUEUED
+        ]
 
     def add(self, record: Intent, now: float) -> None:
         """Add the record of a request that is about to be sent.
