Give attempts ids of their own, and let targets promise that a request will not run

A repeated attempt was refused under the id that had just been cancelled at the target, and slots stayed taken for a second after each silent connection.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -17,7 +17,7 @@
     And a key of a living target is still served
 
   Scenario: All open connections to targets go silent
-    When all connections to targets go silent while each host gets 10 requests
+    When all connections to targets go silent while 12 requests are running
     Then all of these requests are answered
     And each key still has its former owner
     And no fee ran twice and no refusal is false
--- a/radishshunt/control.py
+++ b/radishshunt/control.py
@@ -20,6 +20,8 @@
 # A control call moves from a kept connection to a new one after this time, so that a silent
 # connection alone never makes the target count as lost.
 CONTROL_SWITCH_SECONDS = 0.1
+# Of an answer to DELETE /_target/requests/<id>: the request will not run even if it arrives later.
+ENDED_HEADER = "radishshunt-ended"
 
 
 class GrantRejected(RadishshuntError):
@@ -146,9 +148,11 @@
         except (httpx.HTTPError, NoConnectionFree, ValueError, KeyError, TypeError):
             return None
 
-    async def cancel(self, request_id: str) -> int:
-        """Cancel a request and return the status of the target's answer.
+    async def cancel(self, request_id: str) -> tuple[int, bool]:
+        """Cancel a request.
 
+        :return: Status of the target's answer, and whether the target promises that the request
+            neither runs now nor will run later.
         :raises httpx.HTTPError: If there is none.
         :raises NoConnectionFree: If the connection limit is reached.
         """
@@ -158,7 +162,7 @@
             fresh=False,
             timeout=CONTROL_TIMEOUT_SECONDS,
         )
-        return resp.status_code
+        return resp.status_code, ENDED_HEADER in resp.headers
 
     async def _control(self, path: str, doc: dict) -> dict:
         try:
--- a/radishshunt/dispatch/group.py
+++ b/radishshunt/dispatch/group.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 import trio
@@ -252,6 +253,7 @@
         """
         print_ = fingerprint(req.service, req.method, req.path, req.key, body)
         attempted: OutcomeOfRequestUnknown | None = None
+        first_id, attempts = req.id, 0
         while True:
             try:
                 return await self._attempt(req, body, slice_number, print_, ready)
@@ -264,6 +266,9 @@
                 if not retried or self._too_late(req) or not self._retries.spend():
                     raise
                 attempted = exc
+                attempts += 1
+                # The target may have been told to refuse the former id when it arrives late.
+                req = replace(req, id=f"{first_id}.{attempts}")
                 decision(
                     "retry", service=req.service, key_hash=key_hash(req.key), reason=exc.reason
                 )
--- a/radishshunt/emulator/target.py
+++ b/radishshunt/emulator/target.py
@@ -194,7 +194,9 @@
         self._cancelled[request_id] = None
         while len(self._cancelled) > CANCELLED_KEPT:
             self._cancelled.popitem(last=False)
-        return Response(b"", status=404)
+        resp = Response(b"", status=404)
+        resp.headers["Radishshunt-Ended"] = "true"
+        return resp
 
     async def _state(self, request_id: str) -> Response:
         running = request_id in self._scopes
@@ -215,7 +217,10 @@
         if self.behaviour.crash_on and self.behaviour.crash_on in path:
             self._on_crash()
             await trio.sleep_forever()
-        if await self._execute(execution, headers, deadline):
+        complete = await self._execute(execution, headers, deadline)
+        if request.scope["client"][1] in self.behaviour.silent_ports:
+            await trio.sleep_forever()
+        if complete:
             resp = self._answer(execution, f"/{path}", len(body))
         else:
             resp = Response("the deadline passed", status=504)
@@ -280,14 +285,18 @@
         if self.behaviour.crossed > 0 and former is not None:
             self.behaviour.crossed -= 1
             doc = former
+        elif self.behaviour.truncated > 0:
+            self.behaviour.truncated -= 1
+            return self._cut_answer(doc)
         resp = _json(doc)
         resp.headers["Radishshunt-Request-Id"] = doc["request_id"]
-        if self.behaviour.truncated > 0:
-            self.behaviour.truncated -= 1
-            data = json.dumps(doc).encode()
-            resp = Response(_cut_body(data), content_type="application/json")
-            resp.headers["Content-Length"] = str(len(data))
-            resp.headers["Radishshunt-Request-Id"] = doc["request_id"]
+        return resp
+
+    def _cut_answer(self, doc: dict) -> Response:
+        data = json.dumps(doc).encode()
+        resp = Response(_cut_body(data), content_type="application/json")
+        resp.headers["Content-Length"] = str(len(data))
+        resp.headers["Radishshunt-Request-Id"] = doc["request_id"]
         return resp
 
     def _write_journal(
--- a/radishshunt/targets.py
+++ b/radishshunt/targets.py
@@ -238,12 +238,13 @@
     ) -> None:
         """Cancel a request at the target and wait until it has surely ended there.
 
-        Status 204 means that it ran and was cancelled, 404 that it does not run. After any other
-        result it may still arrive or run until its deadline, which the target checks itself.
+        Status 204 means that it ran and was cancelled, 404 that it does not run. Without the
+        target's promise, a request that was not seen to arrive may still do so until its deadline,
+        which the target checks itself.
         """
         try:
-            status = await self.control.cancel(request_id)
-            ended = status == 204 or (arrived and status == 404)
+            status, promised = await self.control.cancel(request_id)
+            ended = status == 204 or (status == 404 and (arrived or promised))
         except (httpx.HTTPError, NoConnectionFree):
             ended = False
         try:
--- a/tests/test_dispatch/test_dispatch_group.py
+++ b/tests/test_dispatch/test_dispatch_group.py
@@ -129,6 +129,7 @@
             nursery.start_soon(bench.send)
     for target in bench.targets.values():
         target.silence_open()
+        target.promises = True
     started_at = trio.current_time()
     async with trio.open_nursery() as nursery:
         for _ in range(9):
--- a/tests/test_targets/test_targets_liveness.py
+++ b/tests/test_targets/test_targets_liveness.py
@@ -245,6 +245,19 @@
     assert bench.ended == [pytest.approx(1.0 + CLOCK_SKEW_BOUND, abs=0.01)]
 
 
+async def test_slot_is_free_if_the_target_promises_not_to_run_the_request(
+    autojump_clock, bench: Bench
+) -> None:
+    """Guards against slots lost for a second to each connection that went silent."""
+    await bench.send()
+    bench.target.promises = True
+    bench.target.silence_open()
+    with pytest.raises(OutcomeOfRequestUnknown):
+        await bench.send(seconds=5.0)
+    await trio.sleep(0.1)
+    assert len(bench.ended) == 2
+
+
 async def test_answer_that_is_not_read_gives_its_slot_back(autojump_clock, bench: Bench) -> None:
     """Guards against a slot lost to a caller that goes before the first byte of the answer."""
     resp = await bench.client.send(
