Stop a group whose hand-over was not answered, and test takeover

Cause: a host that got no answer to its hand-over went on granting, although the standby dispatcher may have relied on the end of the grants that the notice named; two owners were possible where a target could not be fenced.

Change: without an answer the host stops using its generation.

--- a/radishshunt/dispatch/takeover.py
+++ b/radishshunt/dispatch/takeover.py
@@ -116,7 +116,8 @@
             seconds = self._directory.catalog.services[row.group.service].grant_seconds
             since = self._ended_at.setdefault(standby, self._clock.now())
             return self._clock.now() > since + seconds + 2 * CLOCK_SKEW_BOUND
-        return await self._notify(standby.host, self._notice(HOLD, row.group, row.generation))
+        notice = self._notice(HOLD, row.group, row.generation)
+        return bool(await self._notify(standby.host, notice))
 
     async def hand_over_all(self) -> None:
         """Hand every group over to its standby dispatcher."""
@@ -134,13 +135,15 @@
         grants = dispatcher.grants
         grants.paused = True
         msg = self._notice(HAND_OVER, row.group, row.generation, grants.latest_deadline)
-        if await self._notify(standby.host, msg):
+        accepted = await self._notify(standby.host, msg)
+        if accepted:
             news = Dispatcher(standby.host, row.generation + 1)
             self._directory.update_dispatcher(row.group, news)
-            if self._dispatch.groups.get(row.group) is dispatcher:
-                self._dispatch.stop(row.group, "handed-over")
-        else:
+        if accepted is False:
             grants.paused = False
+        elif self._dispatch.groups.get(row.group) is dispatcher:
+            # Without an answer, the standby dispatcher may rely on this host having stopped.
+            self._dispatch.stop(row.group, "handed-over" if accepted else "hand-over-unknown")
 
     async def _on_replaced(self, dispatcher: GroupDispatcher, former: GroupRow) -> None:
         if await self.ask_to_hold(former) and dispatcher.row.generation > former.generation:
@@ -273,10 +276,11 @@
     def _notice(self, kind: str, group: GroupId, generation: int, deadline: float = 0.0) -> Notice:
         return Notice(kind, group.service, group.group, generation, deadline)
 
-    async def _notify(self, host: str, msg: Notice) -> bool:
+    async def _notify(self, host: str, msg: Notice) -> bool | None:
+        """Send a notice and return whether it was accepted, ``None`` if nobody can say."""
         try:
             answer = await self._network.call(host, msg, NOTICE_TIMEOUT_SECONDS)
         except PeerUnavailable as exc:
             logger.debug("notice %s of %s to %s: %s", msg.kind, msg.service, host, exc)
-            return False
+            return None if exc.may_have_arrived else False
         return isinstance(answer, Acknowledge) and answer.accepted
--- a/tests/measure/failover.py
+++ b/tests/measure/failover.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import argparse
+import json
 import os
 import signal
 from collections import defaultdict
@@ -25,6 +26,10 @@
 PERIOD_SECONDS = 0.1
 # Time until the platform's host list no longer names a lost host.
 LIST_LAG_SECONDS = 1.0
+PAUSE_SECONDS = 3.0
+OF_TARGET = ("target", "both", "restart", "pause-target")
+OF_HOST = ("dispatcher", "both", "stop", "pause-dispatcher")
+SCENARIOS = ("target", "dispatcher", "both", "restart", "stop", "pause-target", "pause-dispatcher")
 REQUEST_TIMEOUT_SECONDS = 1.0
 
 
@@ -104,10 +109,12 @@
     hosts: list[str],
     lose: Callable[[], None],
     later: Callable[[], None] | None,
+    later_seconds: float | None = None,
 ) -> Record:
     """Send requests while something is lost.
 
-    :param later: Called once the platform's host list has caught up.
+    :param later: Called when the platform's host list has caught up, or what is paused goes on.
+    :param later_seconds: Time of that after the loss.
     """
     record = Record()
     with trio.move_on_after(SETTLE_SECONDS + AFTER_SECONDS):
@@ -118,7 +125,7 @@
             await trio.sleep(SETTLE_SECONDS)
             record.lost_at = trio.current_time()
             lose()
-            await trio.sleep(LIST_LAG_SECONDS)
+            await trio.sleep(LIST_LAG_SECONDS if later_seconds is None else later_seconds)
             if later is not None:
                 later()
     return record
@@ -149,8 +156,8 @@
         affected = [
             key
             for key in keys
-            if (scenario in ("target", "both", "restart") and placed[key]["owner"] == target)
-            or (scenario in ("dispatcher", "both", "stop") and placed[key]["dispatcher"] == host)
+            if (scenario in OF_TARGET and placed[key]["owner"] == target)
+            or (scenario in OF_HOST and placed[key]["dispatcher"] == host)
         ]
         if scenario == "both":
             affected = [k for k in affected if placed[k]["group"] == chosen["group"]]
@@ -172,14 +179,23 @@
                 system.kill(host)
             if scenario == "restart":
                 system.restart(target)
+            if scenario == "pause-target":
+                system.pause(target)
+            if scenario == "pause-dispatcher":
+                system.pause(host)
             if scenario == "stop":
                 system.processes[host].send_signal(signal.SIGTERM)
 
-        survivors = [name for name in system.hosts if name != host or scenario == "restart"]
-        if scenario == "target":
-            survivors = list(system.hosts)
+        def resume() -> None:
+            system.resume(target)
+            system.resume(host)
+
+        survivors = [name for name in system.hosts if name != host or scenario not in OF_HOST]
         later = delist if scenario in ("dispatcher", "both") else None
-        record = trio.run(observe, system, keys, survivors, lose, later)
+        if scenario.startswith("pause"):
+            later = resume
+        seconds = PAUSE_SECONDS if scenario.startswith("pause") else None
+        record = trio.run(observe, system, keys, survivors, lose, later, seconds)
         failed = [
             p
             for key in keys
@@ -191,6 +207,7 @@
         for probe in failed:
             reasons[f"{probe.status} {probe.reason}"] += 1
         note = f"{len(failed)} of {total} requests failed: {dict(reasons)}"
+        note += f", {count_overlaps(system)} keys ran at two targets at once"
         unserved = [record.unserved(key) for key in affected]
         return unserved, [record.longest_gap(key) for key in affected], note
     finally:
@@ -201,6 +218,33 @@
         system.close()
 
 
+def count_overlaps(system: System) -> int:
+    """Return how many keys ran at two targets at the same time, from the targets' journals."""
+    spans: dict[str, list[tuple[float, float, str]]] = defaultdict(list)
+    for name in system.targets:
+        begun: dict[tuple[int, str], tuple[float, str]] = {}
+        if not system.journal(name).exists():
+            continue
+        for line in system.journal(name).read_text().splitlines():
+            doc = json.loads(line)
+            run_id = (doc["incarnation"], doc["request_id"])
+            if doc["event"] == "start":
+                begun[run_id] = (doc["at"], doc["key"])
+            elif run_id in begun:
+                at, key = begun.pop(run_id)
+                spans[key].append((at, doc["at"], name))
+    overlapping = 0
+    for runs in spans.values():
+        runs.sort()
+        latest: tuple[float, str] = (0.0, "")
+        found = False
+        for start, end, name in runs:
+            found = found or (start < latest[0] and name != latest[1])
+            latest = max(latest, (end, name))
+        overlapping += found
+    return overlapping
+
+
 def quantile(values: list[float], q: float) -> float:
     """Return a quantile by the nearest rank."""
     ordered = sorted(values)
@@ -215,7 +259,7 @@
     parser.add_argument("--repeat", type=int, default=1)
     parser.add_argument("--platform", choices=("up", "down"))
     args = parser.parse_args()
-    for scenario in args.scenarios or ("target", "dispatcher", "both", "restart", "stop"):
+    for scenario in args.scenarios or SCENARIOS:
         for platform in [args.platform] if args.platform else ["up", "down"]:
             unserved: list[float] = []
             gaps: list[float] = []
