Ask the table before a group is served without fences

Cause: once the former hosts have ended, no fence is needed, so a host that missed a later row could grant to a restarted target while that row's dispatcher granted to the other one.

Change: the host reads the row from the table first; the search of interleavings ends hosts, too.

--- a/radishshunt/app.py
+++ b/radishshunt/app.py
@@ -97,6 +97,7 @@
             self.membership,
             self.network,
             self.clock,
+            self.sync.refresh_row,
         )
         self.planning = Planning(
             self.me.host,
--- a/radishshunt/dispatch/takeover.py
+++ b/radishshunt/dispatch/takeover.py
@@ -9,11 +9,13 @@
 
 from radishshunt.clock import CLOCK_SKEW_BOUND
 from radishshunt.directory import Dispatcher
-from radishshunt.errors import PeerUnavailable
+from radishshunt.errors import PeerUnavailable, RadishshuntError
 from radishshunt.model import GroupId
 from radishshunt.wire.messages import Acknowledge, Notice
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from radishshunt.clock import Clock
     from radishshunt.directory import Directory
     from radishshunt.dispatch.group import GroupDispatcher
@@ -42,7 +44,10 @@
 
 
 class Takeover:
-    """Takes groups over whose dispatcher is lost or leaves."""
+    """Takes groups over whose dispatcher is lost or leaves.
+
+    :param refresh: Reads a group's row from the platform.
+    """
 
     def __init__(
         self,
@@ -52,7 +57,10 @@
         membership: Membership,
         network: PeerNetwork,
         clock: Clock,
+        refresh: Callable[[GroupId], Awaitable[None]],
     ) -> None:
+        self._refresh = refresh
+        self._confirming: set[GroupId] = set()
         self._me = me
         self._directory = directory
         self._dispatch = dispatch
@@ -205,8 +213,9 @@
             return
         host = row.dispatcher.host
         if all(self._has_ended(run) for run in rivals):
-            # The last grant was sent before now.
-            running.grants.on_rivals_stopped(self._clock.now() + running.grant_seconds)
+            if row.group not in self._confirming and self._nursery is not None:
+                self._confirming.add(row.group)
+                self._nursery.start_soon(self._confirm_end, row, running)
         elif (
             taken_over
             and running.leased
@@ -218,10 +227,25 @@
             ends = dict.fromkeys(running.unchecked, lease_end)
             end = lease_end + running.grant_seconds
             running.grants.on_rivals_stopped(end, ends, only_row=True)
-            return
-        else:
-            return
-        self._settled[row.group] = running.generation
+
+    async def _confirm_end(self, row: GroupRow, running: GroupDispatcher) -> None:
+        """Settle a row whose former hosts have ended, unless it has been replaced.
+
+        This host may have missed a later row. The fences that would show this are not needed any
+        more once the former hosts have ended, so the table has to be asked.
+        """
+        try:
+            await self._refresh(row.group)
+            current = self._directory.rows.get(row.group)
+            if current is not None and current.generation == row.generation:
+                # The last grant was sent before now.
+                running.grants.on_rivals_stopped(self._clock.now() + running.grant_seconds)
+                self._settled[row.group] = running.generation
+        except RadishshuntError as exc:
+            logger.debug("row of %s: %s", row.group, exc)
+            await trio.sleep(CHECK_INTERVAL_SECONDS)
+        finally:
+            self._confirming.discard(row.group)
 
     async def _announce(self, dispatcher: GroupDispatcher) -> None:
         with trio.move_on_after(ANNOUNCE_AFTER_SECONDS):
--- a/tests/test_ownership/interleavings.py
+++ b/tests/test_ownership/interleavings.py
@@ -30,6 +30,7 @@
     :param losses: Answers that are lost after the command took effect.
     :param clock_steps: Steps of a target's clock within the skew bound.
     :param writes: Rows written after the first.
+    :param ends: Whether the first dispatcher's host may end.
     :param seconds: Simulated time.
     """
 
@@ -37,6 +38,7 @@
     losses: int = 2
     clock_steps: int = 1
     writes: int = 1
+    ends: bool = True
     seconds: float = 5.0
 
 
@@ -130,6 +132,9 @@
             found.append(("take-over",))
             if bounds.writes:
                 found.append(("promise",))
+        in_force = self.row.generation == 2 and "h" in self.dispatchers
+        if bounds.ends and in_force and "d" not in self.stopped:
+            found.append(("end",))
         if self.counts["writes"] < bounds.writes:
             found += [("write", name) for name in self.dispatchers if name not in self.stopped]
         return found
@@ -155,6 +160,11 @@
         elif kind == "take-over":
             self.dispatchers["h"] = self.ownership_class(self.row, 3, GRANT_SECONDS)
             self.tick("h")
+        elif kind == "end":
+            # The host of the dispatcher ends, and the table still holds the same row.
+            self.stopped.add("d")
+            self.dispatchers["h"].on_rivals_stopped(self.now + GRANT_SECONDS)
+            self.tick("h")
         elif kind == "promise":
             self.promised = True
         elif kind == "write":
@@ -307,6 +317,7 @@
             "clock": 0.2,
             "take-over": 0.5,
             "promise": 0.3,
+            "end": 0.2,
             "write": 0.3,
         }
         # Some walks cut one dispatcher off from one target.
--- a/tests/test_ownership/test_ownership_search.py
+++ b/tests/test_ownership/test_ownership_search.py
@@ -78,7 +78,7 @@
     """Search from normal service."""
     for seed in (3, 1):
         world = World(rules, names).start().settle()
-        search_at_random(world, Bounds(losses=0, clock_steps=0), walks, seed)
+        search_at_random(world, Bounds(losses=0, clock_steps=0, ends=False), walks, seed)
 
 
 @pytest.mark.parametrize(
@@ -119,7 +119,9 @@
     """Visit all states that follow a takeover from a live dispatcher within one long step."""
     world = World(rules, PAIR, quantum=LONG_QUANTUM).start().settle()
     world.apply(("take-over",))
-    bounds = Bounds(restarts=restarts, losses=0, clock_steps=0, writes=0, seconds=LONG_QUANTUM)
+    bounds = Bounds(
+        restarts=restarts, losses=0, clock_steps=0, writes=0, ends=False, seconds=LONG_QUANTUM
+    )
     return search_depth_first(world, bounds, max_states=MOST_STATES)
 
 
--- a/tests/test_ownership/test_ownership_takeover.py
+++ b/tests/test_ownership/test_ownership_takeover.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 import pytest
+from trio.testing import wait_all_tasks_blocked
 
 from radishshunt.clock import Clock
 from radishshunt.directory import Directory
@@ -120,8 +121,19 @@
         self.dispatch, self.membership = FakeDispatch(), FakeMembership()
         self.network = FakeNetwork()
         self.takeover = Takeover(
-            me, self.directory, self.dispatch, self.membership, self.network, self.clock
+            me,
+            self.directory,
+            self.dispatch,
+            self.membership,
+            self.network,
+            self.clock,
+            self.refresh,
         )
+        self.newer: GroupRow | None = None
+
+    async def refresh(self, _group: GroupId) -> None:
+        if self.newer is not None:
+            self.directory.update_row(self.newer)
 
     async def receive(self, kind: str, generation: int = 4, sender: str = "host-01") -> bool:
         class Conn:
@@ -224,17 +236,24 @@
     assert dispatcher.network.sent == []
 
 
-async def test_former_hosts_that_have_all_ended_settle_a_row(dispatcher) -> None:
-    # Guards against slices that wait for a lost target although nobody can grant to it any more.
+@pytest.mark.parametrize("replaced", [False, True])
+async def test_former_hosts_that_have_all_ended_settle_a_row(dispatcher, nursery, replaced) -> None:
+    # Guards against slices that wait for a lost target although nobody can grant to it any more,
+    # and against a host that missed a later row and grants without fences.
+    dispatcher.takeover._nursery = nursery
     former = (HostRef("host-01", 77), HostRef("host-03", 3))
     dispatcher.membership.runs["host-03"] = 3
     row = GroupRow(GROUP, 6, DISPATCHER, STANDBY, (), {}, {"a": (1,)}, former)
+    dispatcher.directory.update_row(row)
+    if replaced:
+        dispatcher.newer = GroupRow(GROUP, 8, STANDBY, DISPATCHER, ())
     running = dispatcher.dispatch.start(row, 6, "")
     dispatcher.takeover._settle(row, running)
     assert running.grants.stopped == []
     dispatcher.membership.runs["host-03"] = 4
     dispatcher.takeover._settle(row, running)
-    assert running.grants.stopped == [(NOW + 1.2, False)]
+    await wait_all_tasks_blocked()
+    assert running.grants.stopped == ([] if replaced else [(NOW + 1.2, False)])
 
 
 async def test_lease_ends_with_the_answers_and_with_a_takeover(dispatcher) -> None:
