--- a/radishshunt/platform/transactions.py
+++ b/radishshunt/platform/transactions.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from radishshunt.errors import OutcomeUnknown, PlatformUnavailable
+from radishshunt.errors import OutcomeUnknown, PlatformUnavailable, ProtocolError
 from radishshunt.platform import CommitResult, CommitStatus, Table, Transaction
 from radishshunt.platform.changes import mark_changes
 
@@ -37,7 +37,7 @@
             # A delayed commit may still arrive. Sending it again is safe, since the table runs a
             # transaction id once, and gives a definite answer.
             return await table.commit(tx)
-        except (OutcomeUnknown, PlatformUnavailable):
+        except (OutcomeUnknown, PlatformUnavailable, ProtocolError):
             continue
     raise cause
 
--- a/radishshunt/platform_reader.py
+++ b/radishshunt/platform_reader.py
@@ -19,7 +19,7 @@
     from radishshunt.directory import Directory
     from radishshunt.members import Members
     from radishshunt.model import GroupId
-    from radishshunt.platform import Platform
+    from radishshunt.platform import Platform, TableRow
     from radishshunt.sync import Sync
 
 logger = logging.getLogger(__name__)
@@ -81,9 +81,10 @@
                     await self._read_regularly()
                     pause = self._pause()
                 backoff.reset()
-            except RadishshuntError as exc:
+            except (RadishshuntError, ValueError, KeyError, TypeError) as exc:
+                # A malformed row fails on every host alike and must not take all of them down.
                 pause = max(self._pause(), backoff.next())
-                logger.info("platform: %s; next attempt in %.1f s", exc, pause)
+                logger.info("platform: %r; next attempt in %.1f s", exc, pause)
             await trio.sleep(pause)
 
     async def read(self) -> None:
@@ -93,11 +94,14 @@
         """
         started_at = self._clock.now()
         found = await self._rows.read([CURRENT_KEY])
-        current = Current.from_row(found.asked[CURRENT_KEY])
-        await self._take_release(current)
-        for row in found.groups.values():
-            if row.version:
-                self._sync.take_row(GroupRow.from_json(row.value, row.version), from_platform=True)
+        try:
+            current = Current.from_row(found.asked[CURRENT_KEY])
+            await self._take_release(current)
+        finally:
+            # The reader does not give these rows again, so a release that can't be read must not
+            # keep them from being taken.
+            for key, row in found.groups.items():
+                self._take_row(key, row)
         if found.complete:
             self._sync.mark_loaded()
             self._scan_at = started_at + SCAN_INTERVAL_SECONDS * self._rng.uniform(1.0, 1.2)
@@ -110,8 +114,7 @@
         """
         key = group.row_key
         row = (await self._platform.table.read([key]))[key]
-        if row.version:
-            self._sync.take_row(GroupRow.from_json(row.value, row.version), from_platform=True)
+        self._take_row(key, row)
 
     async def _read_regularly(self) -> None:
         large = not self._members.topology.full_mesh
@@ -126,6 +129,17 @@
             self._rows.reset()
         await self.read()
 
+    def _take_row(self, key: str, row: TableRow) -> None:
+        if row.version == 0:
+            return
+        try:
+            known = GroupRow.from_json(row.value, row.version)
+        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            # The other rows are taken nevertheless.
+            logger.error("row %s of version %d is malformed: %r", key, row.version, exc)
+            return
+        self._sync.take_row(known, from_platform=True)
+
     async def _read_release(self) -> None:
         started_at = self._clock.now()
         row = (await self._platform.table.read([CURRENT_KEY]))[CURRENT_KEY]
--- a/radishshunt/release/acceptance.py
+++ b/radishshunt/release/acceptance.py
@@ -7,7 +7,7 @@
 from hashlib import sha256
 from typing import TYPE_CHECKING
 
-from radishshunt.errors import Conflict, OutcomeUnknown, PlatformUnavailable
+from radishshunt.errors import Conflict, OutcomeUnknown, PlatformUnavailable, ProtocolError
 from radishshunt.platform import Platform, Transaction
 from radishshunt.platform.transactions import commit, committed
 from radishshunt.release.catalog import Catalog
@@ -105,6 +105,15 @@
     :raises PlatformUnavailable: If this submission had no effect.
     :raises OutcomeUnknown: If it may have had one; submit the note again to find out.
     """
+    try:
+        return await _submit(platform, note, known)
+    except (PlatformUnavailable, ProtocolError) as exc:
+        raise PlatformUnavailable(f"this submission had no effect: {exc}") from exc
+
+
+async def _submit(
+    platform: Platform, note: ReleaseNote, known: Catalog | None
+) -> tuple[Acceptance, Catalog]:
     key = note_key(note.version)
     rows = await platform.table.read([CURRENT_KEY, key])
     current = Current.from_row(rows[CURRENT_KEY])
@@ -151,7 +160,7 @@
     key = note_key(note.version)
     try:
         rows = await platform.table.read([CURRENT_KEY, key])
-    except PlatformUnavailable as exc:
+    except (PlatformUnavailable, ProtocolError) as exc:
         # The winner can be the same note, submitted through another host.
         raise OutcomeUnknown(f"{ASK_AGAIN} ({exc})") from exc
     if rows[key].version == 0:
@@ -174,7 +183,7 @@
     acceptance = Acceptance(note.version, note.digest)
     try:
         return acceptance, await _catalog_at(platform, current, known)
-    except PlatformUnavailable:
+    except (PlatformUnavailable, ProtocolError):
         # The acceptance is certain, and the catalog arrives from the platform or from peers.
         return acceptance, known or Catalog()
 
--- a/tests/test_platform/test_platform_http.py
+++ b/tests/test_platform/test_platform_http.py
@@ -163,6 +163,36 @@
         await table.read(["a"])
 
 
+@pytest.mark.parametrize("good_calls", range(6))
+async def test_note_is_not_answered_falsely_when_a_proxy_takes_over(
+    good_calls: int, autojump_clock: trio.testing.MockClock
+) -> None:
+    """Guards against an error page in any step that counts as acceptance or as refusal."""
+    emulator = PlatformEmulator(TrioClock())
+    inner = httpx.ASGITransport(app=emulator.app)
+    calls = 0
+
+    class Proxy(httpx.AsyncBaseTransport):
+        async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+            nonlocal calls
+            calls += 1
+            resp = await inner.handle_async_request(request)
+            # The call that is answered with a page takes effect.
+            return resp if calls <= good_calls else httpx.Response(200, text="<html>")
+
+    platform = connect("http://platform", transport=Proxy())
+    try:
+        await submit(platform, FIRST)
+        told = "accepted"
+    except PlatformUnavailable as exc:
+        assert str(exc).startswith("this submission had no effect")
+        told = "no effect"
+    except OutcomeUnknown:
+        told = "unknown"
+    stored = (await emulator.table.read(["release/current"]))["release/current"].version
+    assert told == "unknown" or (told == "accepted") == bool(stored)
+
+
 @pytest.mark.parametrize("doc", [{}, {"rows": []}, {"rows": {"a": {}}}, [], {"rows": {"a": 1}}])
 async def test_malformed_rows_are_a_protocol_error(
     doc: Any, autojump_clock: trio.testing.MockClock
--- a/tests/test_sync/test_sync_spread.py
+++ b/tests/test_sync/test_sync_spread.py
@@ -14,6 +14,8 @@
 from radishshunt.clock import TrioClock
 from radishshunt.directory import Dispatcher
 from radishshunt.emulator.simulation import Simulation
+from radishshunt.platform import Transaction
+from radishshunt.platform.transactions import commit
 from radishshunt.release.acceptance import load_catalog
 from tests.test_sync.helpers import accept, first_note, row, toggle, write_row
 
@@ -296,6 +298,29 @@
         assert len(sim.hosts["host-00005"].directory.rows) == 100
 
 
+async def test_malformed_rows_stop_neither_a_host_nor_other_rows(
+    autojump_clock: trio.testing.MockClock,
+) -> None:
+    """Guards against one bad row in the table that takes all hosts down."""
+    async with running(5) as sim:
+        bad = {"group/permits/7": b"{", "group/permits/8": b"[]", "group/permits/9": b"{}"}
+        await commit(sim.table, Transaction({}, dict(bad)))
+        await write_row(sim, row(0, 4))
+        await trio.sleep(IN_FORCE_SECONDS)
+        for host in sim.hosts.values():
+            assert [r.group.group for r in host.directory.rows.values()] == [0]
+        # The row of the current release can't be read; hosts keep the one in force and go on.
+        version = (await sim.table.inner.read(["release/current"]))["release/current"].version
+        await commit(
+            sim.table, Transaction({"release/current": version}, {"release/current": b"x"})
+        )
+        await write_row(sim, row(1, 4))
+        await trio.sleep(IN_FORCE_SECONDS)
+        assert {host.version for host in sim.hosts.values()} == {1}
+        assert all(len(host.directory.rows) == 2 for host in sim.hosts.values())
+        assert all(h.contact.may_send_new_work(h.clock.now()) for h in sim.hosts.values())
+
+
 async def test_steady_system_reads_one_small_row_and_scans_nothing(
     autojump_clock: trio.testing.MockClock,
 ) -> None:
