--- a/radishshunt/admin.py
+++ b/radishshunt/admin.py
@@ -94,7 +94,7 @@
 
     @app.get("/v1/hosts")
     async def hosts() -> Response:
-        return jsonify(host.hosts_status())
+        return jsonify(await host.hosts_status())
 
     @app.post("/v1/releases")
     async def post_release() -> Response:
--- a/radishshunt/app.py
+++ b/radishshunt/app.py
@@ -184,9 +184,9 @@
         """Return this host's state and what it knows of the others."""
         return host_status(self)
 
-    def hosts_status(self) -> dict[str, Any]:
+    async def hosts_status(self) -> dict[str, Any]:
         """Return host by host which version is in force."""
-        return hosts_status(self)
+        return await hosts_status(self)
 
     def explain(self, service: str, key: str) -> dict[str, Any]:
         """Return who serves a key and why."""
--- a/radishshunt/membership.py
+++ b/radishshunt/membership.py
@@ -128,6 +128,10 @@
         """Return the last heartbeat of a host, or ``None`` if there was none."""
         return self._last.get(host)
 
+    async def ask(self, host: str) -> Heartbeat | None:
+        """Exchange heartbeats with a host now; return its own, or ``None`` without an answer."""
+        return self._last.get(host) if await self._call(host) else None
+
     def live_hosts(self) -> list[HostInfo]:
         """Return the live hosts and this one, in order of name, with their incarnations."""
         me = self._network.me
--- a/radishshunt/status.py
+++ b/radishshunt/status.py
@@ -5,11 +5,18 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any
 
+import trio
+
 from radishshunt.ownership import epoch_of
 
 if TYPE_CHECKING:
     from radishshunt.app import Host
     from radishshunt.directory import Location
+    from radishshunt.wire.messages import Heartbeat
+
+# A heartbeat this recent is shown; older ones are replaced by asking the host.
+FRESH_SECONDS = 1.0
+ASKED_AT_ONCE = 64
 
 
 def host_status(host: Host) -> dict[str, Any]:
@@ -40,39 +47,37 @@
     }
 
 
-def hosts_status(host: Host) -> dict[str, Any]:
-    """Return host by host which version is in force, as the last heartbeats say.
+async def hosts_status(host: Host) -> dict[str, Any]:
+    """Return host by host which version is in force.
 
-    The states are ``ok``, ``leaving``, ``differs`` (another version than the newest that any
-    host has) and ``no-answer`` (no heartbeat within the time after which a host counts as lost).
+    Hosts that were not heard within the last second are asked now. The states are ``ok``,
+    ``leaving``, ``differs`` (another version than the newest that any host has) and ``no-answer``.
     """
     catalog = host.directory.catalog
-    now = host.clock.now()
-    versions: dict[str, int | None] = {host.me.host: catalog.version}
-    domains = {host.me.host: host.me.domain}
-    leaving = {host.me.host: host.leaving}
-    for name, info in host.network.hosts.items():
-        beat = host.membership.last_heartbeat(name)
-        versions[name] = beat.catalog_version if beat else None
-        domains[name] = info.domain
-        leaving[name] = beat.leaving if beat else False
-    newest = max(version or 0 for version in versions.values())
+    beats = {host.me.host: host.describe()}
+    heard_at = {host.me.host: host.clock.now()}
+    limit = trio.CapacityLimiter(ASKED_AT_ONCE)
+    async with trio.open_nursery() as nursery:
+        for name in host.network.hosts:
+            heard_at[name] = host.membership.heard_at(name)
+            beat = host.membership.last_heartbeat(name)
+            if beat is not None and host.clock.now() - heard_at[name] <= FRESH_SECONDS:
+                beats[name] = beat
+            else:
+                nursery.start_soon(_ask, host, name, beats, limit)
+    newest = max(beat.catalog_version for beat in beats.values())
     hosts = []
-    for name in sorted(versions):
-        if not host.membership.is_live(name):
-            state = "no-answer"
-        elif versions[name] != newest:
-            state = "differs"
-        else:
-            state = "leaving" if leaving[name] else "ok"
-        heard_at = now if name == host.me.host else host.membership.heard_at(name)
+    for name in sorted(heard_at):
+        beat = beats.get(name)
+        last = beat or host.membership.last_heartbeat(name)
+        info = host.network.hosts.get(name, host.me)
         hosts.append(
             {
                 "host": name,
-                "domain": domains[name],
-                "version": versions[name],
-                "state": state,
-                "heard_at": heard_at or None,
+                "domain": info.domain,
+                "version": last.catalog_version if last else None,
+                "state": _state(beat, newest),
+                "heard_at": host.clock.now() if beat else heard_at[name] or None,
             }
         )
     return {
@@ -84,6 +89,23 @@
     }
 
 
+async def _ask(
+    host: Host, name: str, beats: dict[str, Heartbeat], limit: trio.CapacityLimiter
+) -> None:
+    async with limit:
+        beat = await host.membership.ask(name)
+    if beat is not None:
+        beats[name] = beat
+
+
+def _state(beat: Heartbeat | None, newest: int) -> str:
+    if beat is None:
+        return "no-answer"
+    if beat.catalog_version != newest:
+        return "differs"
+    return "leaving" if beat.leaving else "ok"
+
+
 def explain(host: Host, service: str, key: str) -> dict[str, Any]:
     """Return who serves a key and why.
 
--- a/tests/test_admin/test_admin_api.py
+++ b/tests/test_admin/test_admin_api.py
@@ -79,6 +79,7 @@
         await client.post("/v1/releases", content=FIRST_NOTE, headers=AUTH)
         await _until(states, {"host-01": "ok", "host-02": "ok"})
         membership = system.hosts[0].membership
+        await _until(lambda: _has_heartbeat(membership, "host-02"), True)
         old = replace(membership.last_heartbeat("host-02"), catalog_version=0)
         with monkeypatch.context() as patch:
             patch.setattr(membership, "last_heartbeat", lambda _host: old)
@@ -128,6 +129,10 @@
         await _until(reason, "no target holds a valid grant for the slice and takes work")
 
 
+async def _has_heartbeat(membership, host: str) -> bool:
+    return membership.last_heartbeat(host) is not None
+
+
 async def _until(ask, wanted) -> None:
     found = None
     with trio.move_on_after(5):
