--- a/radishshunt/experiment/deployments.py
+++ b/radishshunt/experiment/deployments.py
@@ -19,7 +19,7 @@
 # Factor on the service time of a cold target.
 COLD_SLOWDOWN = 2.0
 # Keys of a keyed service and exponent of their popularity. With these the hottest key has
-# 2.7% of the requests, which is less than one target's share in either deployment.
+# 3.1% of the requests, which is less than one target's share in either deployment.
 KEYS = 20_000
 ZIPF_EXPONENT = 0.8
 SLICES = 1024
--- a/radishshunt/experiment/simulation.py
+++ b/radishshunt/experiment/simulation.py
@@ -231,8 +231,8 @@
         groups = max(1, total // TARGETS_PER_GROUP)
         lanes = []
         for index in range(total):
-            # Consecutive targets are in different domains; groups take every n-th target, like
-            # the planner, so that a group spans several domains.
+            # Targets are in order of domain; groups take every n-th one, like the planner, so
+            # that a group spans several domains.
             domain = d.domains[index * len(d.domains) // total]
             target = EmulatedTarget(f"target-{index:02d}", domain, index % groups)
             state = self.profile.lane(SLOTS, COLD_SLOTS, COLD_SECONDS, QUEUE_LIMIT)
