--- a/radishshunt/dispatch/manager.py
+++ b/radishshunt/dispatch/manager.py
@@ -7,7 +7,9 @@
 import trio
 
 from radishshunt.dispatch.group import GroupDispatcher
+from radishshunt.intent_log import IntentLog
 from radishshunt.logs import decision
+from radishshunt.quarantine import Quarantine
 from radishshunt.wire.messages import GroupState
 
 if TYPE_CHECKING:
@@ -31,7 +33,14 @@
         limits: LimitsSection,
         clock: Clock,
         local_address: str | None = None,
+        *,
+        log: IntentLog | None = None,
+        quarantine: Quarantine | None = None,
     ) -> None:
+        self._intents = log or IntentLog(me, None, clock)
+        self._quarantine = quarantine or Quarantine()
+        # The row before the one in force, for each group.
+        self._former: dict[GroupId, GroupRow] = {}
         self._local_address = local_address
         self._me = me
         self._directory = directory
@@ -45,6 +54,8 @@
         self.ended: dict[GroupId, tuple[int, float]] = {}
         # Returns the end of the dispatch lease for a row, in seconds since the Unix epoch.
         self.lease_of: Callable[[GroupRow], float] | None = None
+        # Returns whether new work may be sent at a time, in seconds since the Unix epoch.
+        self.may_send: Callable[[float], bool] | None = None
         # Called when a running dispatcher goes on under a new row, with the row before.
         self.on_replaced: Callable[[GroupDispatcher, GroupRow], Awaitable[None]] | None = None
 
@@ -84,9 +95,18 @@
         if self._nursery is None or self.ended.get(row.group, (0, 0.0))[0] >= generation:
             return None
         dispatcher = GroupDispatcher(
-            row, generation, self._directory, self._limits, self._clock, self._local_address
+            row,
+            generation,
+            self._directory,
+            self._limits,
+            self._clock,
+            self._local_address,
+            log=self._intents,
+            quarantine=self._quarantine,
+            former_hosts=self._hosts_of(self._former.get(row.group)),
         )
         dispatcher.grants.lease_of = self.lease_of
+        dispatcher.may_send = self.may_send
         self.groups[row.group] = dispatcher
         self._nursery.start_soon(dispatcher.run)
         self._log(dispatcher, reason)
@@ -102,6 +122,7 @@
 
     def _reconcile(self) -> None:
         for group, row in self._directory.rows.items():
+            self._intents.follow_row(row)
             running = self.groups.get(group)
             if running is not None and running.deposed:
                 self.stop(group, "targets-fenced")
@@ -122,9 +143,15 @@
                         self._nursery.start_soon(self.on_replaced, running, former)
             elif running is not None and running.generation < row.generation:
                 self.stop(group, "row-names-another-host")
+            self._former[group] = row
         for group in [g for g in self.groups if g not in self._directory.rows]:
             self.stop(group, "service-withdrawn")
 
+    def _hosts_of(self, row: GroupRow | None) -> list[str]:
+        """Return the other hosts that a row names."""
+        refs = [row.dispatcher, row.standby_dispatcher] if row is not None else []
+        return [ref.host for ref in refs if ref is not None and ref != self._me]
+
     def _log(self, dispatcher: GroupDispatcher, reason: str) -> None:
         decision(
             "dispatcher",
--- a/radishshunt/emulator/grants.py
+++ b/radishshunt/emulator/grants.py
@@ -149,6 +149,16 @@
             return None
         return epoch
 
+    def held(self, service: str, now: float) -> dict[int, tuple[int, float]]:
+        """Return the epoch and the deadline of each slice of a service with a valid grant."""
+        return {
+            number: (epoch, state.deadline)
+            for group, state in self._groups.items()
+            if group[0] == service
+            for number, epoch in state.slices.items()
+            if not self.refusal(group, number, epoch, now)
+        }
+
     def start(
         self, request_id: str, group: GroupKey, slice_number: int | None, epoch: int, until: float
     ) -> None:
--- a/radishshunt/emulator/target.py
+++ b/radishshunt/emulator/target.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass
+from collections import OrderedDict
+from dataclasses import asdict, dataclass, fields
 from typing import TYPE_CHECKING
 
 import trio
@@ -11,34 +12,18 @@
 from quart_trio import QuartTrio
 
 from radishshunt.emulator.grants import Rejected, TargetGrants
+from radishshunt.emulator.history import CALL_HEADER, Execution, GrantLog
 from radishshunt.model import new_incarnation
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import AsyncIterator, Callable, Mapping
     from typing import BinaryIO
 
     from radishshunt.clock import Clock
 
 METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
-
-
-@dataclass(frozen=True, slots=True)
-class Execution:
-    """Record of a request that a target has run.
-
-    :param started_at: Seconds since the Unix epoch.
-    :param ended_at: Seconds since the Unix epoch, 0 while it runs or if it was cut.
-    """
-
-    target: str
-    service: str
-    key: str
-    method: str
-    request_id: str
-    idempotency_key: str
-    epoch: int
-    started_at: float
-    ended_at: float = 0.0
+# Requests cancelled before they arrived that are remembered, so that they are refused later.
+CANCELLED_KEPT = 1000
 
 
 @dataclass(slots=True)
@@ -48,11 +33,21 @@
     :param service_seconds: Time to run one request.
     :param slowdown: Factor on the service time.
     :param frozen: Take requests and never answer.
+    :param silent_ports: Peer ports of connections that have gone silent; others work.
+    :param crossed: Give that many requests the answer of the request before.
+    :param truncated: Cut that many answers in the middle of their body.
+    :param crash_on: Requests whose path holds this text end the process; empty for none.
+    :param answer_bytes: Size of the filling in answers.
     """
 
     service_seconds: float = 0.002
     slowdown: float = 1.0
     frozen: bool = False
+    silent_ports: frozenset[int] = frozenset()
+    crossed: int = 0
+    truncated: int = 0
+    crash_on: str = ""
+    answer_bytes: int = 0
 
 
 class TargetEmulator:
@@ -61,6 +56,7 @@
     :param checks_fences: Whether it refuses requests without a valid grant.
     :param journal: Unbuffered file for a JSON line at each start and end of a request, which
         outlives the process.
+    :param on_crash: Ends the process, or what stands for it, without an answer.
     """
 
     def __init__(
@@ -71,6 +67,7 @@
         *,
         checks_fences: bool = True,
         journal: BinaryIO | None = None,
+        on_crash: Callable[[], None] = lambda: None,
     ) -> None:
         self.name = name
         self.slots = slots
@@ -80,6 +77,11 @@
         # Idempotency key and start of every request begun, also of those that a kill cut off.
         self.starts: list[tuple[str, float]] = []
         self.most_at_once = 0
+        self.ports: set[int] = set()
+        self.grant_log = GrantLog(name)
+        self._on_crash = on_crash
+        self._last_answer: dict | None = None
+        self._cancelled: OrderedDict[str, None] = OrderedDict()
         self._clock = clock
         self._journal = journal
         self._scopes: dict[str, trio.CancelScope] = {}
@@ -88,6 +90,10 @@
 
     def restart(self) -> None:
         """Forget all grants and fences, as a new process would."""
+        now = self._clock.now()
+        self.grant_log.end_all(now)
+        for execution in self.executions:
+            execution.ended_at = execution.ended_at or now
         self.incarnation = new_incarnation()
         self._grants = TargetGrants(self.incarnation)
 
@@ -99,17 +105,47 @@
         app.add_url_rule("/_target/grant", view_func=self._grant, methods=["POST"])
         app.add_url_rule("/_target/health", view_func=self._health)
         app.add_url_rule("/_target/load", view_func=self._load)
-        app.add_url_rule(
-            "/_target/requests/<request_id>", view_func=self._cancel, methods=["DELETE"]
-        )
+        rule = "/_target/requests/<request_id>"
+        app.add_url_rule(rule, "cancel", self._cancel, methods=["DELETE"])
+        app.add_url_rule(rule, "state", self._state, methods=["GET"])
+        app.add_url_rule("/_target/history", view_func=self._history)
+        app.add_url_rule("/emulator/behaviour", view_func=self._behave, methods=["PUT"])
         app.add_url_rule("/", "work", self._work, methods=METHODS, defaults={"path": ""})
         app.add_url_rule("/<path:path>", "work", self._work, methods=METHODS)
         return app
 
     async def _before(self) -> None:
-        if self.behaviour.frozen:
+        if request.path.startswith("/emulator/") or request.path == "/_target/history":
+            return
+        port = request.scope["client"][1]
+        self.ports.add(port)
+        if self.behaviour.frozen or port in self.behaviour.silent_ports:
             await trio.sleep_forever()
 
+    async def _history(self) -> Response:
+        return _json(
+            {
+                "target": self.name,
+                "incarnation": self.incarnation,
+                "executions": [asdict(execution) for execution in self.executions],
+                "grants": [asdict(grant) for grant in self.grant_log.records],
+                "most_at_once": self.most_at_once,
+            }
+        )
+
+    async def _behave(self) -> Response:
+        doc = await request.get_json()
+        if doc.pop("silence_open", False):
+            self.silence_open()
+        known = {item.name for item in fields(Behaviour)} - {"silent_ports"}
+        for name in known & doc.keys():
+            setattr(self.behaviour, name, doc[name])
+        return Response(b"", status=204)
+
+    def silence_open(self) -> None:
+        """Let every connection used so far go silent; new ones work."""
+        self.behaviour.silent_ports |= self.ports
+
     async def _fence(self) -> Response:
         doc = await request.get_json()
         group = (doc["service"], doc["group"])
@@ -117,6 +153,7 @@
             result = self._grants.fence(group, doc["generation"], doc.get("slices", ()))
         except Rejected as exc:
             return self._rejected(exc.reason)
+        self.grant_log.update(doc["service"], self._grants, self._clock.now())
         return _json(
             {
                 "incarnation": self.incarnation,
@@ -139,6 +176,7 @@
             )
         except Rejected as exc:
             return self._rejected(exc.reason)
+        self.grant_log.update(doc["service"], self._grants, self._clock.now())
         return _json({"incarnation": self.incarnation})
 
     async def _health(self) -> Response:
@@ -148,10 +186,19 @@
         return _json({"running": self._grants.running, "slots": self.slots})
 
     async def _cancel(self, request_id: str) -> Response:
+        """Cancel a request; one that has not arrived yet is refused when it does."""
         scope = self._scopes.get(request_id)
         if scope is not None:
             scope.cancel()
-        return Response(b"", status=204 if scope else 404)
+            return Response(b"", status=204)
+        self._cancelled[request_id] = None
+        while len(self._cancelled) > CANCELLED_KEPT:
+            self._cancelled.popitem(last=False)
+        return Response(b"", status=404)
+
+    async def _state(self, request_id: str) -> Response:
+        running = request_id in self._scopes
+        return _json({"running": running, "incarnation": self.incarnation})
 
     async def _work(self, path: str) -> Response:
         headers = request.headers
@@ -164,51 +211,83 @@
             refusal.headers["Radishshunt-Not-Run"] = reason
             refusal.headers["Radishshunt-Request-Id"] = request_id
             return refusal
-        group = (headers.get("Radishshunt-Service", ""), int(headers.get("Radishshunt-Group", "0")))
-        epoch = int(headers.get("Radishshunt-Epoch", "0"))
-        number = int(headers.get("Radishshunt-Slice", "-1"))
+        execution = self._begin(headers)
+        if self.behaviour.crash_on and self.behaviour.crash_on in path:
+            self._on_crash()
+            await trio.sleep_forever()
+        if await self._execute(execution, headers, deadline):
+            resp = self._answer(execution, f"/{path}", len(body))
+        else:
+            resp = Response("the deadline passed", status=504)
+            resp.headers["Radishshunt-Request-Id"] = request_id
+        return resp
+
+    def _begin(self, headers: Mapping[str, str]) -> Execution:
+        execution = Execution(
+            target=self.name,
+            incarnation=self.incarnation,
+            service=headers.get("Radishshunt-Service", ""),
+            key=headers.get("Radishshunt-Key", ""),
+            slice=int(headers.get("Radishshunt-Slice", "-1")),
+            method=request.method,
+            request_id=headers.get("Radishshunt-Request-Id", ""),
+            idempotency_key=headers.get("Idempotency-Key", ""),
+            call=headers.get(CALL_HEADER, ""),
+            epoch=int(headers.get("Radishshunt-Epoch", "0")),
+            started_at=self._clock.now(),
+        )
+        self.executions.append(execution)
+        self.starts.append((execution.idempotency_key, execution.started_at))
+        self._write_journal("start", execution.request_id, headers, execution.slice)
+        return execution
+
+    async def _execute(
+        self, execution: Execution, headers: Mapping[str, str], deadline: float
+    ) -> bool:
+        """Run a request and return whether it came to its end."""
+        group = (execution.service, int(headers.get("Radishshunt-Group", "0")))
+        request_id, number = execution.request_id, execution.slice
         grants = self._grants
-        grants.start(request_id, group, number if number >= 0 else None, epoch, deadline)
+        grants.start(request_id, group, number if number >= 0 else None, execution.epoch, deadline)
         self.most_at_once = max(self.most_at_once, grants.running)
         scope = self._scopes[request_id] = trio.CancelScope(
             deadline=trio.current_time() + max(0.0, deadline - self._clock.now())
         )
-        started_at = self._clock.now()
-        self.starts.append((headers.get("Idempotency-Key", ""), started_at))
-        self._write_journal("start", request_id, headers, number)
         try:
             with scope:
                 await trio.sleep(self.behaviour.service_seconds * self.behaviour.slowdown)
+                execution.complete = True
         finally:
+            execution.ended_at = execution.ended_at or self._clock.now()
             grants.finish(request_id)
             del self._scopes[request_id]
             self._write_journal("end", request_id, headers, number)
-        execution = Execution(
-            target=self.name,
-            service=group[0],
-            key=headers.get("Radishshunt-Key", ""),
-            method=request.method,
-            request_id=request_id,
-            idempotency_key=headers.get("Idempotency-Key", ""),
-            epoch=epoch,
-            started_at=started_at,
-            ended_at=0.0 if scope.cancelled_caught else self._clock.now(),
-        )
-        self.executions.append(execution)
-        if scope.cancelled_caught:
-            resp = Response("the deadline passed", status=504)
-        else:
-            resp = _json(
-                {
-                    "target": self.name,
-                    "key": execution.key,
-                    "method": request.method,
-                    "path": f"/{path}",
-                    "request_id": request_id,
-                    "body_bytes": len(body),
-                }
-            )
-        resp.headers["Radishshunt-Request-Id"] = request_id
+        return execution.complete
+
+    def _answer(self, execution: Execution, path: str, body_bytes: int) -> Response:
+        doc = {
+            "target": self.name,
+            "key": execution.key,
+            "method": execution.method,
+            "path": path,
+            "request_id": execution.request_id,
+            "call": execution.call,
+            "body_bytes": body_bytes,
+        }
+        if self.behaviour.answer_bytes:
+            doc["filling"] = "x" * self.behaviour.answer_bytes
+        former, self._last_answer = self._last_answer, doc
+        if self.behaviour.crossed > 0 and former is not None:
+            self.behaviour.crossed -= 1
+            doc = former
+        resp = _json(doc)
+        resp.headers["Radishshunt-Request-Id"] = doc["request_id"]
+        if self.behaviour.truncated > 0:
+            self.behaviour.truncated -= 1
+            data = json.dumps(doc).encode()
+            resp = Response(_cut_body(data), content_type="application/json")
+            resp.headers["Content-Length"] = str(len(data))
+            resp.headers["Radishshunt-Request-Id"] = doc["request_id"]
         return resp
 
     def _write_journal(
@@ -231,6 +310,8 @@
         self._journal.write(json.dumps(doc).encode() + b"\n")
 
     def _refusal(self, headers: dict[str, str], deadline: float) -> str | None:
+        if headers.get("Radishshunt-Request-Id", "") in self._cancelled:
+            return "cancelled"
         if self._clock.now() >= deadline:
             return "deadline"
         if not self.checks_fences or "Radishshunt-Epoch" not in headers:
@@ -251,3 +332,9 @@
 
 def _json(doc: dict) -> Response:
     return Response(json.dumps(doc), content_type="application/json")
+
+
+async def _cut_body(data: bytes) -> AsyncIterator[bytes]:
+    """Yield half of a body and break the connection."""
+    yield data[: len(data) // 2]
+    raise ConnectionAbortedError("the emulator cuts this answer")
--- a/radishshunt/target_transport.py
+++ b/radishshunt/target_transport.py
@@ -13,7 +13,7 @@
 import trio
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
 
 READ_BYTES = 64 * 1024
 
@@ -62,10 +62,13 @@
         *,
         seconds: float | None,
         connect_seconds: float | None,
+        before_send: Callable[[], None] | None = None,
     ) -> httpx.Response:
         """Send a request and return its response as soon as the head is here.
 
         :param seconds: Time for each step other than connecting.
+        :param before_send: Called right before the first byte is written; nothing is sent if it
+            raises an exception.
         :raises httpx.TransportError: Of the same kinds as the transport of httpx.
         """
         with trio.CancelScope(deadline=_deadline(seconds)) as scope:
@@ -75,7 +78,7 @@
         conn = None
         try:
             conn = self._take() or await self._connect(connect_seconds)
-            return await conn.exchange(method, target, headers, body, seconds)
+            return await conn.exchange(method, target, headers, body, seconds, before_send)
         except BaseException:
             if conn is not None:
                 conn.close()
@@ -142,6 +145,7 @@
         headers: list[tuple[bytes, bytes]],
         body: bytes,
         timeout: float | None,
+        before_send: Callable[[], None] | None,
     ) -> httpx.Response:
         """Send a request and read the head of its response."""
         try:
@@ -151,6 +155,8 @@
             data += self._http.send(h11.EndOfMessage())
         except h11.LocalProtocolError as exc:
             raise httpx.LocalProtocolError(str(exc)) from exc
+        if before_send is not None:
+            before_send()
         with trio.CancelScope(deadline=_deadline(timeout)) as scope:
             try:
                 await self._stream.send_all(data)
