--- a/radishshunt/dispatch/group.py
+++ b/radishshunt/dispatch/group.py
@@ -274,7 +274,8 @@
             return not self._too_late(req)
         if exc.reason not in _RETRIED_NOT_RUN or self._too_late(req):
             return False
-        return self._refusals.spend()
+        # Other refusals end with a failover or a move; a cold target refuses for longer.
+        return exc.reason != "cold" or self._refusals.spend()
 
     async def _attempt(
         self,
