--- a/radishshunt/app.py
+++ b/radishshunt/app.py
@@ -105,6 +105,7 @@
             self.membership,
             self.network,
             self.clock,
+            self.sync.refresh_row,
         )
         self.planning = Planning(
             self.me.host,
@@ -192,9 +193,9 @@
         """Return this host's state and what it knows of the others."""
         return host_status(self)
 
-    def hosts_status(self) -> dict[str, Any]:
+    async def hosts_status(self) -> dict[str, Any]:
         """Return host by host which version is in force."""
-        return hosts_status(self)
+        return await hosts_status(self)
 
     def explain(self, service: str, key: str) -> dict[str, Any]:
         """Return who serves a key and why."""
--- a/radishshunt/dispatch/takeover.py
+++ b/radishshunt/dispatch/takeover.py
@@ -9,11 +9,13 @@
 
 from radishshunt.clock import CLOCK_SKEW_BOUND
 from radishshunt.directory import Dispatcher
-from radishshunt.errors import PeerUnavailable
+from radishshunt.errors import PeerUnavailable, RadishshuntError
 from radishshunt.model import GroupId
 from radishshunt.wire.messages import Acknowledge, Notice
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from radishshunt.clock import Clock
     from radishshunt.directory import Directory
     from radishshunt.dispatch.group import GroupDispatcher
@@ -42,7 +44,10 @@
 
 
 class Takeover:
-    """Takes groups over whose dispatcher is lost or leaves."""
+    """Takes groups over whose dispatcher is lost or leaves.
+
+    :param refresh: Reads a group's row from the platform.
+    """
 
     def __init__(
         self,
@@ -52,7 +57,10 @@
         membership: Membership,
         network: PeerNetwork,
         clock: Clock,
+        refresh: Callable[[GroupId], Awaitable[None]],
     ) -> None:
+        self._refresh = refresh
+        self._confirming: set[GroupId] = set()
         self._me = me
         self._directory = directory
         self._dispatch = dispatch
@@ -116,7 +124,8 @@
             seconds = self._directory.catalog.services[row.group.service].grant_seconds
             since = self._ended_at.setdefault(standby, self._clock.now())
             return self._clock.now() > since + seconds + 2 * CLOCK_SKEW_BOUND
-        return await self._notify(standby.host, self._notice(HOLD, row.group, row.generation))
+        notice = self._notice(HOLD, row.group, row.generation)
+        return bool(await self._notify(standby.host, notice))
 
     async def hand_over_all(self) -> None:
         """Hand every group over to its standby dispatcher."""
@@ -134,13 +143,15 @@
         grants = dispatcher.grants
         grants.paused = True
         msg = self._notice(HAND_OVER, row.group, row.generation, grants.latest_deadline)
-        if await self._notify(standby.host, msg):
+        accepted = await self._notify(standby.host, msg)
+        if accepted:
             news = Dispatcher(standby.host, row.generation + 1)
             self._directory.update_dispatcher(row.group, news)
-            if self._dispatch.groups.get(row.group) is dispatcher:
-                self._dispatch.stop(row.group, "handed-over")
-        else:
+        if accepted is False:
             grants.paused = False
+        elif self._dispatch.groups.get(row.group) is dispatcher:
+            # Without an answer, the standby dispatcher may rely on this host having stopped.
+            self._dispatch.stop(row.group, "handed-over" if accepted else "hand-over-unknown")
 
     async def _on_replaced(self, dispatcher: GroupDispatcher, former: GroupRow) -> None:
         if await self.ask_to_hold(former) and dispatcher.row.generation > former.generation:
@@ -202,8 +213,9 @@
             return
         host = row.dispatcher.host
         if all(self._has_ended(run) for run in rivals):
-            # The last grant was sent before now.
-            running.grants.on_rivals_stopped(self._clock.now() + running.grant_seconds)
+            if row.group not in self._confirming and self._nursery is not None:
+                self._confirming.add(row.group)
+                self._nursery.start_soon(self._confirm_end, row, running)
         elif (
             taken_over
             and running.leased
@@ -215,10 +227,25 @@
             ends = dict.fromkeys(running.unchecked, lease_end)
             end = lease_end + running.grant_seconds
             running.grants.on_rivals_stopped(end, ends, only_row=True)
-            return
-        else:
-            return
-        self._settled[row.group] = running.generation
+
+    async def _confirm_end(self, row: GroupRow, running: GroupDispatcher) -> None:
+        """Settle a row whose former hosts have ended, unless it has been replaced.
+
+        This host may have missed a later row. The fences that would show this are not needed any
+        more once the former hosts have ended, so the table has to be asked.
+        """
+        try:
+            await self._refresh(row.group)
+            current = self._directory.rows.get(row.group)
+            if current is not None and current.generation == row.generation:
+                # The last grant was sent before now.
+                running.grants.on_rivals_stopped(self._clock.now() + running.grant_seconds)
+                self._settled[row.group] = running.generation
+        except RadishshuntError as exc:
+            logger.debug("row of %s: %s", row.group, exc)
+            await trio.sleep(CHECK_INTERVAL_SECONDS)
+        finally:
+            self._confirming.discard(row.group)
 
     async def _announce(self, dispatcher: GroupDispatcher) -> None:
         with trio.move_on_after(ANNOUNCE_AFTER_SECONDS):
@@ -273,10 +300,11 @@
     def _notice(self, kind: str, group: GroupId, generation: int, deadline: float = 0.0) -> Notice:
         return Notice(kind, group.service, group.group, generation, deadline)
 
-    async def _notify(self, host: str, msg: Notice) -> bool:
+    async def _notify(self, host: str, msg: Notice) -> bool | None:
+        """Send a notice and return whether it was accepted, ``None`` if nobody can say."""
         try:
             answer = await self._network.call(host, msg, NOTICE_TIMEOUT_SECONDS)
         except PeerUnavailable as exc:
             logger.debug("notice %s of %s to %s: %s", msg.kind, msg.service, host, exc)
-            return False
+            return None if exc.may_have_arrived else False
         return isinstance(answer, Acknowledge) and answer.accepted
