--- a/radishshunt/app.py
+++ b/radishshunt/app.py
@@ -15,6 +15,7 @@
 from radishshunt.dispatch.takeover import Takeover
 from radishshunt.frontend import Frontend
 from radishshunt.http_server import HttpServer
+from radishshunt.intent_log import IntentLog
 from radishshunt.members import Members
 from radishshunt.membership import Membership
 from radishshunt.memory import BodyMemory
@@ -23,6 +24,7 @@
 from radishshunt.peers import PeerNetwork
 from radishshunt.planning import Planning
 from radishshunt.platform.http import connect
+from radishshunt.quarantine import Quarantine
 from radishshunt.router import Router
 from radishshunt.status import explain, host_status, hosts_status, update_metrics
 from radishshunt.supervisor import Supervisor
@@ -62,12 +64,17 @@
         self.metrics = Metrics()
         self.directory = Directory()
         self.network = PeerNetwork(self.me, cfg.peers.address)
+        ref = HostRef(self.me.host, self.me.incarnation)
+        self.intents = IntentLog(ref, self.network, self.clock)
+        self.quarantine = Quarantine()
         self.dispatch = DispatchManager(
-            HostRef(self.me.host, self.me.incarnation),
+            ref,
             self.directory,
             cfg.limits,
             self.clock,
             ip_of(cfg.peers.address),
+            log=self.intents,
+            quarantine=self.quarantine,
         )
         self.members = Members(self.me, self.network, self.clock)
         self.contact = Contact(self.directory, self.members)
@@ -154,6 +161,7 @@
             address=self.me.address,
             catalog_version=self.directory.catalog.version,
             groups=self.dispatch.states(),
+            suspects=self.quarantine.suspects(self.clock.now()),
             leaving=self.leaving,
             sent_at=self.clock.now(),
             platform_seen_at=self.sync.platform_seen_at,
@@ -185,9 +193,9 @@
         """Return this host's state and what it knows of the others."""
         return host_status(self)
 
-    def hosts_status(self) -> dict[str, Any]:
+    async def hosts_status(self) -> dict[str, Any]:
         """Return host by host which version is in force."""
-        return hosts_status(self)
+        return await hosts_status(self)
 
     def explain(self, service: str, key: str) -> dict[str, Any]:
         """Return who serves a key and why."""
@@ -247,6 +255,7 @@
 
     def _on_heartbeat(self, beat: Heartbeat) -> None:
         self.sync.note_heartbeat(beat)
+        self.quarantine.merge(beat.suspects, self.clock.now())
 
     def _on_catalog(self, catalog: Catalog) -> None:
         self.metrics.catalog_version.set(catalog.version)
--- a/radishshunt/dispatch/grants.py
+++ b/radishshunt/dispatch/grants.py
@@ -121,6 +121,10 @@
         self._ownership.on_rivals_stopped(latest_deadline, deadline_of, slices)
         self._wake_up()
 
+    def all_fenced(self) -> bool:
+        """Return whether every target is fenced for the generation in use."""
+        return self._ownership.all_fenced()
+
     def lost_targets(self) -> set[str]:
         """Return the targets that do not answer."""
         return self._ownership.lost_targets(self._clock.now())
--- a/radishshunt/frontend.py
+++ b/radishshunt/frontend.py
@@ -5,14 +5,15 @@
 import json
 import logging
 import re
+import secrets
 from typing import TYPE_CHECKING, Any
-from uuid import uuid4
 
 import trio
 
 from radishshunt.errors import NotRun, OutcomeOfRequestUnknown, RequestError
 from radishshunt.hashing import key_hash
 from radishshunt.http_server import DISCONNECT
+from radishshunt.intents import new_request_id
 from radishshunt.logs import decision
 from radishshunt.model import Request
 from radishshunt.release.note import NAME_PATTERN
@@ -43,6 +44,8 @@
 # A body has to arrive this long before the deadline. The request then ends here as not run,
 # before the router's own deadline ends it with an unknown outcome.
 BODY_MARGIN_SECONDS = 0.05
+# Time for an answer that came right before its deadline.
+MIN_ANSWER_SECONDS = 0.5
 _TIMEOUT = re.compile(r"[0-9]{1,6}(\.[0-9]{1,6})?")
 _NAME = re.compile(NAME_PATTERN)
 _SINGLE = (SERVICE_HEADER, KEY_HEADER, TIMEOUT_HEADER, IDEMPOTENCY_HEADER)
@@ -98,12 +101,15 @@
 
     async def _serve(self, scope: Any, exchange: Exchange) -> None:
         received_at = self._clock.now()
-        request_id = uuid4().hex
+        request_id = new_request_id(received_at, secrets.randbits(74))
         lease = self._memory.lease()
         req = None
         try:
             if self._running > self._limits.callers:
                 raise NotRun("host-busy", "too many requests", retry_after=1.0)
+            if scope["http_version"] != "1.1":
+                # In HTTP/1.0 a cut answer without a length looks whole.
+                raise NotRun("http-version", "callers have to use HTTP/1.1", status=505)
             req = parse(scope, request_id, received_at, self._limits)
             self._check_length(exchange.length)
             req.body = self._body(exchange, lease, req.deadline)
@@ -127,7 +133,12 @@
             exchange.watch(scope)
             resp = await self._router.route(req)
             try:
-                await exchange.send_response(resp)
+                # A caller that stops reading would hold the target's slot; its answer is cut.
+                left = max(MIN_ANSWER_SECONDS, req.deadline - self._clock.now())
+                with trio.move_on_after(left) as sending:
+                    await exchange.send_response(resp)
+                if sending.cancelled_caught and not exchange.ended:
+                    raise OutcomeOfRequestUnknown("answer-cut", "not whole before the deadline")
             finally:
                 with trio.CancelScope(shield=True):
                     await resp.body.aclose()
--- a/radishshunt/ownership.py
+++ b/radishshunt/ownership.py
@@ -181,7 +181,9 @@
         :param slices: Slices that this holds for, by default all.
         """
         for bundle in self._bundles:
-            if slices is None or bundle.slices <= slices:
+            known = bundle.rivals_end
+            later = known is not None and known <= latest_deadline
+            if not later and (slices is None or bundle.slices <= slices):
                 bundle.rivals_end = latest_deadline
                 bundle.rivals_end_of = deadline_of or {}
 
@@ -213,6 +215,10 @@
         """Return the grant of a target of a service without keys."""
         return self._serving_target(target, 0, now) if target in self._targets else None
 
+    def all_fenced(self) -> bool:
+        """Return whether every target is fenced for this generation."""
+        return all(state.fenced for state in self._targets.values())
+
     def _index(self, bundle: Bundle) -> None:
         for name in bundle.names:
             self._bundles_of[name].append(bundle)
@@ -333,8 +339,8 @@
     def _waits_for_rivals(self, bundle: Bundle, now: float) -> bool:
         """Return whether a target that checks no fences may still get another host's requests."""
         exposed = self.unchecked & (bundle.names if self.taken_over else bundle.former)
-        if not exposed:
-            return False
+        if self.taken_over or not exposed:
+            return any(not bundle.rivals_ended(name, now) for name in exposed)
         if bundle.rivals_end is None or now <= bundle.rivals_end + CLOCK_SKEW_BOUND:
             return True
         # A host's own earlier grants to the owner compete with nothing.
