--- a/radishshunt/cmd/emulate.py
+++ b/radishshunt/cmd/emulate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from functools import partial
 from pathlib import Path
 from typing import Annotated
@@ -37,7 +38,14 @@
 ) -> None:
     """Run a stand-in target until ^C."""
     file = journal.open("ab", buffering=0) if journal else None
-    emulator = TargetEmulator(name, slots, SystemClock(), checks_fences=checks_fences, journal=file)
+    emulator = TargetEmulator(
+        name,
+        slots,
+        SystemClock(),
+        checks_fences=checks_fences,
+        journal=file,
+        on_crash=lambda: os._exit(70),
+    )
     emulator.behaviour.service_seconds = service_seconds
     trio.run(partial(serve_emulator, emulator.app, address))
 
--- a/radishshunt/dispatch/group.py
+++ b/radishshunt/dispatch/group.py
@@ -2,37 +2,55 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import trio
 
 from radishshunt.dispatch.grants import GrantKeeper
 from radishshunt.dispatch.lane import Lane
 from radishshunt.dispatch.load import LoadCounter
-from radishshunt.errors import NotOwner, NotRun
-from radishshunt.hashing import key_hash
+from radishshunt.dispatch.once import OnceRunner
+from radishshunt.dispatch.replication import Replicator
+from radishshunt.errors import NotOwner, NotRun, OutcomeOfRequestUnknown
+from radishshunt.hashing import fingerprint, key_hash
+from radishshunt.intent_log import IntentLog
+from radishshunt.intents import KnowledgeHorizon
 from radishshunt.logs import decision
-from radishshunt.model import Response, read_body
+from radishshunt.model import new_incarnation, read_body
 from radishshunt.policy.balancing import Candidate
-from radishshunt.policy.budgets import REFUSAL_RATIO, TokenBudget
+from radishshunt.policy.budgets import REFUSAL_RATIO, RETRY_RATIO, TokenBudget
 from radishshunt.policy.profile import Adaptive
-from radishshunt.targets import TargetClient
+from radishshunt.quarantine import Quarantine
+from radishshunt.targets import Envelope, TargetClient
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from radishshunt.clock import Clock
     from radishshunt.directory import Directory
-    from radishshunt.dispatch.lane import Turn
-    from radishshunt.model import GroupRow, Request
+    from radishshunt.model import GroupRow, Request, Response
     from radishshunt.ownership_state import Serving
     from radishshunt.placement.load_report import GroupLoad
     from radishshunt.settings import LimitsSection
 
+FIRST_GENERATION = 2
+# How often a dispatcher that lacks earlier records looks whether they are still needed.
+HORIZON_INTERVAL_SECONDS = 5.0
+# Time for reporting how the last requests ended, after the dispatcher has stopped.
+REPORT_SECONDS = 1.0
 # Pause before a request that did not run is tried again.
 RETRY_PAUSE_SECONDS = 0.05
 # Time kept back for the answer's way, so that no request is sent too late to matter.
 SEND_MARGIN_SECONDS = 0.002
+# Reasons of targets and connections after which another attempt may succeed.
+_RETRIED_NOT_RUN = frozenset({"wrong-epoch", "no-grant", "connect-failed", "cold"})
+_RETRIED_IDEMPOTENT = frozenset(
+    {"no-answer", "connection-silent", "connection-broke", "wrong-answer"}
+)
+
+
+class _Moved(NotRun):
+    """The target stopped serving the key while the request waited for a slot."""
 
 
 class GroupDispatcher:
@@ -41,6 +59,8 @@
     :param row: The group's row.
     :param generation: Generation that this host uses for the group.
     :param local_address: IP number that connections to targets come from.
+    :param log: This host's records of non-idempotent requests.
+    :param former_hosts: Hosts that may hold the group's records.
     """
 
     def __init__(
@@ -51,8 +71,18 @@
         limits: LimitsSection,
         clock: Clock,
         local_address: str | None = None,
+        *,
+        log: IntentLog | None = None,
+        quarantine: Quarantine | None = None,
+        former_hosts: Iterable[str] = (),
     ) -> None:
         self._local_address = local_address
+        self._log = log = log or IntentLog(row.dispatcher, None, clock)
+        self._quarantine = quarantine or Quarantine()
+        self._former_hosts = tuple(former_hosts)
+        self._nursery: trio.Nursery | None = None
+        self._retries = TokenBudget(RETRY_RATIO)
+        self._suspect_locks: dict[str, trio.Lock] = {}
         self.row = row
         self.group = row.group
         self._directory = directory
@@ -80,6 +110,21 @@
             self._on_incarnation,
         )
         self._scope = trio.CancelScope()
+        known = log.lead(self.group, generation, first=row.generation == FIRST_GENERATION)
+        self._horizon = KnowledgeHorizon(known)
+        self._records_ready = trio.Event()
+        self._replicator = Replicator(
+            row, generation, log, clock, known=lambda: self._horizon.known
+        )
+        self._once = OnceRunner(
+            self.group,
+            log,
+            self._replicator,
+            self._horizon,
+            clock,
+            self._spawn,
+            self._grant_seconds,
+        )
 
     @property
     def generation(self) -> int:
@@ -143,6 +188,12 @@
         for name in self._add_targets(row):
             # A target that joins a running dispatcher is taken to be cold.
             self._lanes[name].on_cold()
+        continues = self._log.continues(self.group, generation)
+        known = self._log.lead(self.group, generation, first=False)
+        if not continues:
+            self._horizon.restart(known)
+            self._replicator.resync()
+        self._replicator.update_row(row, generation)
         self._grants.update_row(row, generation, self._grant_seconds())
 
     def stop(self) -> None:
@@ -152,9 +203,19 @@
         self._notify()
 
     async def run(self) -> None:
-        """Keep the group's grants until stopped."""
-        with self._scope:
-            await self._grants.run()
+        """Keep the group's grants until stopped, and then wait for the requests that run."""
+        try:
+            async with trio.open_nursery() as records:
+                records.start_soon(self._keep_records)
+                async with trio.open_nursery() as requests:
+                    self._nursery = requests
+                    with self._scope:
+                        await self._grants.run()
+                await self._replicator.drain(REPORT_SECONDS)
+                records.cancel_scope.cancel()
+        finally:
+            for client in self._clients.values():
+                await client.aclose()
 
     async def handle(self, req: Request, slice_number: int | None) -> Response:
         """Serve a request.
@@ -166,40 +227,151 @@
         if body is None:
             raise NotRun("body-too-large", "the body is over the limit", status=413)
         self._refusals.earn()
+        self._retries.earn()
         self._load_counter.count(slice_number)
+        if req.idempotent:
+            return await self._run(req, body, slice_number, _nothing)
+        with trio.move_on_after(max(0.0, req.deadline - self._clock.now())):
+            await self._records_ready.wait()
+
+        async def send(req: Request, body: bytes, ready: Callable[[], Awaitable[None]]) -> Response:
+            return await self._run(req, body, slice_number, ready)
+
+        return await self._once.handle(req, body, slice_number, send)
+
+    async def _run(
+        self,
+        req: Request,
+        body: bytes,
+        slice_number: int | None,
+        ready: Callable[[], Awaitable[None]],
+    ) -> Response:
+        """Run a request on the target that serves it, again if that is safe.
+
+        :param ready: Awaited with a slot taken, before the first byte is sent.
+        """
+        print_ = fingerprint(req.service, req.method, req.path, req.key, body)
+        attempted: OutcomeOfRequestUnknown | None = None
         while True:
-            serving = await self._wait_serving(slice_number, req.deadline)
-            lane = self._lanes[serving.target]
-            turn = await lane.acquire(req.deadline)
-            released = False
             try:
-                if self._serving(slice_number, serving.target) is None:
-                    continue
-                resp = await self._send(req, body, slice_number, serving)
-                resp.body = _releasing(resp.body, lane, turn)
-                released = True
-                return resp
+                return await self._attempt(req, body, slice_number, print_, ready)
             except NotRun as exc:
-                if exc.reason not in ("wrong-epoch", "no-grant", "connect-failed", "cold"):
+                if not self._retries_refusal(req, exc):
+                    # An earlier attempt may have run, so that "not-run" would not be true.
+                    raise _combined(attempted, exc) from exc
+            except OutcomeOfRequestUnknown as exc:
+                retried = req.idempotent and exc.reason in _RETRIED_IDEMPOTENT
+                if not retried or self._too_late(req) or not self._retries.spend():
                     raise
-                if self._shows_cold(exc.reason, serving.target):
-                    lane.on_cold()
-                if not self._refusals.spend():
-                    raise
-                await trio.sleep(RETRY_PAUSE_SECONDS)
-            finally:
-                if not released:
-                    lane.release(turn, answered=False)
+                attempted = exc
+                decision(
+                    "retry", service=req.service, key_hash=key_hash(req.key), reason=exc.reason
+                )
+            await trio.sleep(RETRY_PAUSE_SECONDS)
+
+    def _retries_refusal(self, req: Request, exc: NotRun) -> bool:
+        if isinstance(exc, _Moved):
+            return not self._too_late(req)
+        if exc.reason not in _RETRIED_NOT_RUN or self._too_late(req):
+            return False
+        return self._refusals.spend()
+
+    async def _attempt(
+        self,
+        req: Request,
+        body: bytes,
+        slice_number: int | None,
+        print_: int,
+        ready: Callable[[], Awaitable[None]],
+    ) -> Response:
+        self._quarantine.check(print_, req.idempotency_key, self._clock.now())
+        serving = await self._wait_serving(slice_number, req.deadline)
+        now = self._clock.now()
+        self._quarantine.check(print_, req.idempotency_key, now)
+        if not self._quarantine.deaths(print_, req.idempotency_key, now):
+            return await self._send_in_slot(req, body, slice_number, print_, serving, ready)
+        # Suspects run one at a time on a target, so that a harmless request that was running
+        # beside a crash is not there again when the same request causes the next one.
+        lock = self._suspect_locks.setdefault(serving.target, trio.Lock())
+        with trio.move_on_after(max(0.0, req.deadline - now)) as scope:
+            await lock.acquire()
+        if scope.cancelled_caught:
+            raise NotRun("deadline", "the deadline passed while the request waited", status=504)
+        try:
+            self._quarantine.check(print_, req.idempotency_key, self._clock.now())
+            return await self._send_in_slot(req, body, slice_number, print_, serving, ready)
+        finally:
+            lock.release()
+
+    async def _send_in_slot(
+        self,
+        req: Request,
+        body: bytes,
+        slice_number: int | None,
+        print_: int,
+        serving: Serving,
+        ready: Callable[[], Awaitable[None]],
+    ) -> Response:
+        lane = self._lanes[serving.target]
+        client = self._clients[serving.target]
+        turn = await lane.acquire(req.deadline)
+        handed_over = answered = False
+
+        def release() -> None:
+            lane.release(turn, answered=answered)
+
+        try:
+            await ready()
+            current = self._serving(slice_number, serving.target)
+            if current is None:
+                raise _Moved("no-grant", "the target no longer serves the key", retry_after=1.0)
+            handed_over = True
+            incarnation = client.control.incarnation
+            resp = await self._send(req, body, slice_number, current, release)
+            answered = True
+            return resp
+        except NotRun as exc:
+            if self._shows_cold(exc.reason, serving.target):
+                lane.on_cold()
+            raise
+        except OutcomeOfRequestUnknown as exc:
+            if exc.reason == "connection-broke" and await client.control.check_death(incarnation):
+                self._note_suspect(req, print_, serving.target, incarnation)
+            raise
+        finally:
+            if not handed_over:
+                release()
+
+    def _note_suspect(self, req: Request, print_: int, target: str, incarnation: int) -> None:
+        death = incarnation or new_incarnation()
+        self._quarantine.note_death(print_, req.idempotency_key, death, self._clock.now())
+        decision(
+            "suspect",
+            service=req.service,
+            key_hash=key_hash(req.key),
+            target=target,
+            fingerprint=f"{print_:016x}",
+            reason="target-lost-while-running",
+        )
 
     async def _send(
-        self, req: Request, body: bytes, slice_number: int | None, serving: Serving
+        self,
+        req: Request,
+        body: bytes,
+        slice_number: int | None,
+        serving: Serving,
+        on_ended: Callable[[], None] = lambda: None,
     ) -> Response:
         now = self._clock.now()
         deadline = min(req.deadline, serving.deadline)
-        if deadline - now < SEND_MARGIN_SECONDS:
-            raise NotRun("deadline", "the deadline passed before sending", status=504)
-        if self.may_send is not None and not self.may_send(now):
-            raise NotRun("isolated", "no recent contact with other hosts", retry_after=1.0)
+        try:
+            if deadline - now < SEND_MARGIN_SECONDS:
+                raise NotRun("deadline", "the deadline passed before sending", status=504)
+            if self.may_send is not None and not self.may_send(now):
+                raise NotRun("isolated", "no recent contact with other hosts", retry_after=1.0)
+        except NotRun:
+            on_ended()
+            raise
         decision(
             "send",
             service=req.service,
@@ -211,18 +383,35 @@
             request_id=req.id,
             reason="owner" if slice_number is not None else "least-loaded",
         )
-        resp = await self._clients[serving.target].send(
-            req,
-            body,
-            now=now,
-            group=self.group.group,
-            slice_number=slice_number,
-            epoch=serving.epoch,
-            deadline=deadline,
-        )
+        envelope = Envelope(self.group.group, slice_number, serving.epoch, deadline)
+        resp = await self._clients[serving.target].send(req, body, envelope, on_ended)
         self._stragglers.on_answer(serving.target, self._clock.now() - now)
         return resp
 
+    async def _keep_records(self) -> None:
+        """Get the former dispatcher's records, and then keep the standby dispatcher's copy."""
+        if not self._horizon.known and self._former_hosts:
+            generation = self.generation
+            if await self._log.fetch(self.group, generation, self._former_hosts):
+                self._horizon.known = True
+        self._records_ready.set()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._replicator.run)
+            while True:
+                await trio.sleep(HORIZON_INTERVAL_SECONDS)
+                if self._horizon.passed(self.row.slices or (None,), self._clock.now()):
+                    self._horizon.known = True
+                    self._log.set_known(self.group)
+                    self._replicator.resync()
+
+    def _too_late(self, req: Request) -> bool:
+        return self._clock.now() + RETRY_PAUSE_SECONDS >= req.deadline
+
+    def _spawn(self, *args: Any) -> None:
+        if self._nursery is None:
+            raise RuntimeError("the dispatcher does not run yet")
+        self._nursery.start_soon(*args)
+
     async def _wait_serving(self, slice_number: int | None, deadline: float) -> Serving:
         while True:
             serving = self._serving(slice_number)
@@ -287,21 +476,35 @@
                 )
                 self._lanes[name] = Lane(state, self._clock)
                 added.append(name)
-                self._clients[name] = TargetClient(target, self._local_address)
+                self._clients[name] = TargetClient(
+                    target, self._local_address, clock=self._clock, spawn=self._spawn
+                )
         return added
 
     def _grant_seconds(self) -> float:
         return self._directory.catalog.services[self.group.service].grant_seconds
 
     def _notify(self) -> None:
+        if not self._horizon.known:
+            numbers = self.row.slices or ([None] if self._grants.all_fenced() else [])
+            self._horizon.note_served(
+                [n for n in numbers if n is None or self._serving(n) is not None],
+                self._clock.now(),
+            )
         self._changed.set()
         self._changed = trio.Event()
 
 
-async def _releasing(body: AsyncIterator[bytes], lane: Lane, turn: Turn) -> AsyncIterator[bytes]:
-    """Yield a body and give the slot back at its end."""
-    try:
-        async for chunk in body:
-            yield chunk
-    finally:
-        lane.release(turn)
+async def _nothing() -> None:
+    await trio.lowlevel.checkpoint()
+
+
+def _combined(attempted: OutcomeOfRequestUnknown | None, refusal: NotRun) -> Exception:
+    """Return the error for a request whose last attempt did not run.
+
+    :param attempted: How an earlier attempt that may have run has ended, if there was one.
+    """
+    if attempted is None:
+        return refusal
+    detail = f"{attempted.detail}; the next attempt was refused: {refusal.detail}"
+    return OutcomeOfRequestUnknown(refusal.reason, detail, status=refusal.status)
