--- a/radishshunt/frontend.py
+++ b/radishshunt/frontend.py
@@ -12,7 +12,7 @@
 
 from radishshunt.errors import NotRun, OutcomeOfRequestUnknown, RequestError
 from radishshunt.hashing import key_hash
-from radishshunt.http_server import DISCONNECT
+from radishshunt.http_requests import DISCONNECT
 from radishshunt.intents import new_request_id
 from radishshunt.logs import decision
 from radishshunt.model import Request
--- a/radishshunt/http_server.py
+++ b/radishshunt/http_server.py
@@ -7,7 +7,6 @@
 import socket
 import ssl
 import struct
-from collections import deque
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -17,28 +16,22 @@
 from hypercorn.protocol.events import Request as RequestEvent
 from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
 from hypercorn.protocol.http_stream import HTTPStream
-from hypercorn.trio.task_group import TaskGroup
 from hypercorn.trio.tcp_server import TCPServer
 from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.utils import parse_socket_addr
 
 from radishshunt.errors import SettingsError
+from radishshunt.http_requests import RequestTasks
 from radishshunt.logs import decision
 from radishshunt.util.problems import CONTENT_TYPE, problem_document
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
 
     from radishshunt.settings import TlsSection
 
 logger = logging.getLogger(__name__)
 
-# Extension of the ASGI scope: takes a function to call when the peer goes away, which costs less
-# than a task that waits for it.
-DISCONNECT = "radishshunt.disconnect"
 READ_BYTES = 64 * 1024
-# Chunks of a body that wait for the application; with READ_BYTES this bounds their memory.
-BODY_QUEUE_CHUNKS = 2
 HEAD_BYTES = 16 * 1024
 # Time from the first byte of a request's head to its last.
 HEAD_SECONDS = 5.0
@@ -154,71 +147,6 @@
             self._connections.discard(conn)
 
 
-class _Inbox:
-    """Events for an application, at most :data:`BODY_QUEUE_CHUNKS` of a body.
-
-    Hypercorn's own queue blocks for good if an application answers before it has read the body:
-    the event that ends the exchange then waits for room that nobody makes.
-    """
-
-    def __init__(self) -> None:
-        self._events: deque[Any] = deque()
-        self._gone = False
-        self._callback: Callable[[], None] | None = None
-        self._changed = trio.Event()
-
-    def on_disconnect(self, callback: Callable[[], None]) -> None:
-        """Name what to call when the peer goes away."""
-        self._callback = callback
-        if self._gone:
-            callback()
-
-    async def put(self, event: Any) -> None:
-        """Add an event, waiting for room."""
-        if event["type"] == "http.disconnect":
-            self._gone = True
-            if self._callback is not None:
-                self._callback()
-        else:
-            while len(self._events) >= BODY_QUEUE_CHUNKS and not self._gone:
-                await self._changed.wait()
-            self._events.append(event)
-        self._notify()
-
-    async def receive(self) -> Any:
-        """Return the next event; a disconnect comes at once and for ever."""
-        while not self._events and not self._gone:
-            await self._changed.wait()
-        if self._gone:
-            return {"type": "http.disconnect"}
-        event = self._events.popleft()
-        self._notify()
-        return event
-
-    def _notify(self) -> None:
-        self._changed.set()
-        self._changed = trio.Event()
-
-
-class _TaskGroup(TaskGroup):
-    """Starts the application for each request of a connection."""
-
-    async def spawn_app(self, app: Any, config: Config, scope: Any, send: Any) -> Any:
-        inbox = _Inbox()
-        scope["extensions"][DISCONNECT] = inbox.on_disconnect
-        self._nursery.start_soon(_run_app, app, scope, inbox.receive, send)
-        return inbox.put
-
-
-async def _run_app(app: Any, scope: Any, receive: Any, send: Any) -> None:
-    try:
-        await app(scope, receive, send)
-    except* Exception as group:
-        logger.error("application failed: %r", group.exceptions[0], exc_info=group)
-    finally:
-        await send(None)
-
-
 class _Protocol(H11Protocol):
     """HTTP/1.1 without upgrades, whose refusals are problem documents."""
 
@@ -345,7 +273,7 @@
             sock = self._transport.socket
             client = parse_socket_addr(sock.family, sock.getpeername())
             server = parse_socket_addr(sock.family, sock.getsockname())
-            async with _TaskGroup() as task_group:
+            async with RequestTasks() as task_group:
                 self._task_group = task_group
                 self.protocol = _Protocol(
                     self.app,
