--- a/radishshunt/emulator/demo.py
+++ b/radishshunt/emulator/demo.py
@@ -281,6 +281,7 @@
             (not duplicates, f"{duplicates} fees ran more than once"),
             (not lost, f"{lost} requests got no outcome"),
             (not report.skipped, f"the generator skipped {report.skipped} requests"),
+            (not report.reasons()["internal"], "the router had faults of its own"),
             (report.count(Result.ANSWERED) > 0, "no request was answered"),
         ]
         self._failures += [text for holds, text in expectations if not holds]
--- a/radishshunt/hashing.py
+++ b/radishshunt/hashing.py
@@ -29,7 +29,9 @@
 
     When a group is added or removed, only the keys that it gains or had change their group.
     """
-    return max(groups, key=lambda group: (xxh3_64_intdigest(f"{group.group}:{key}"), group))
+    return max(
+        groups, key=lambda group: (xxh3_64_intdigest(f"{group.group}:{key}".encode()), group)
+    )
 
 
 def key_hash(key: str) -> str:
