--- a/radishshunt/experiment/capacity.py
+++ b/radishshunt/experiment/capacity.py
@@ -16,7 +16,7 @@
 from radishshunt.metrics import Latency
 from radishshunt.model import GroupId, GroupRow, HostInfo, HostRef, SliceAssignment
 from radishshunt.ownership import Fence, Grant, GroupOwnership
-from radishshunt.planner import View, plan
+from radishshunt.planner import View, plan_group, plan_new_groups
 from radishshunt.release.catalog import Catalog, DomainState, ServiceSpec, TargetSpec
 from radishshunt.wire.codec import decode, encode
 from radishshunt.wire.messages import GroupState, Heartbeat, Intent, Intents, RequestHead
@@ -169,11 +169,12 @@
 
         def build(slices: int = slices) -> GroupOwnership:
             ownership = GroupOwnership(make_row(0, range(slices)), 2, GRANT_SECONDS)
-            for round_number in range(3):
-                now = 100.0 + round_number
+            # A first round fences and a later one grants; a tick is enough between them.
+            for round_number in range(6):
+                now = 100.0 + round_number / 2
                 for command in ownership.commands(now):
                     if isinstance(command, Fence):
-                        ownership.on_fenced(command.target, 7, frozenset(), now)
+                        ownership.on_fenced(command, 7, frozenset(), {}, now)
                     else:
                         ownership.on_granted(command, now)
             return ownership
@@ -220,7 +221,13 @@
     points = []
     for records in (1, 10, 100):
         batch = Intents(
-            [Intent("permits", 1, 4, f"{i:036d}", i, 1.0, "sent") for i in range(records)]
+            "permits",
+            1,
+            4,
+            7,
+            3,
+            False,
+            [Intent("permits", 1, 4, f"{i:036d}", i, 1.0, "sent") for i in range(records)],
         )
         data = encode(1, batch)
         cost = cpu_us(lambda batch=batch: decode(encode(1, batch)[4:]), 50)
@@ -229,14 +236,16 @@
 
 
 def measure_planner() -> Slope:
-    """Measure one planning pass without changes."""
+    """Measure one planning pass of a group's dispatcher without changes."""
     points = []
     for groups in (10, 100, 1000):
         catalog = make_catalog(groups, groups * 20)
         hosts = [HostInfo(f"host-{i:05d}", f"domain-{i % 36:02d}", "", 1) for i in range(1000)]
-        rows = {row.group: row for row in plan(View(catalog, hosts, {}))}
+        rows = {row.group: row for row in plan_new_groups(View(catalog, hosts, {}))}
         view = View(catalog, hosts, rows)
-        points.append(Point(groups, cpu_us(lambda view=view: plan(view), 1), len(rows)))
+        group = next(iter(rows))
+        cost = cpu_us(lambda view=view, group=group: plan_group(view, group), 5)
+        points.append(Point(groups, cost, len(rows)))
     return slope("planner: pass without changes", "groups", points)
 
 
--- a/radishshunt/experiment/estimate.py
+++ b/radishshunt/experiment/estimate.py
@@ -32,13 +32,19 @@
 MEMORY_BUDGET_BYTES = 128e6
 CONTROL_BUDGET_BYTES_PER_SECOND = 4_000
 
-# Control traffic, as measured by tests.soak.control_cost and fixed by the protocol.
-HEARTBEAT_PAIRS = 2
-HEARTBEATS_PER_SECOND = 5
-SLOW_PEERS = 8
-SLOW_HEARTBEATS_PER_SECOND = 1
+# Steady traffic of membership and catalogs on one host in a system of 1,000, both directions, and
+# the share of a core it takes, as radishshunt.experiment.spread measured them.
+MEMBERSHIP_BYTES_PER_SECOND = 2_887.0
+MEMBERSHIP_MESSAGES_PER_SECOND = 36.0
+MEMBERSHIP_CORE = 0.0037
+PLATFORM_READS_PER_SECOND = 2 * DOMAINS * 1.1
+CATALOG_ENTRY_BYTES = 470.0
+# One renewal with its answer over HTTP, and its processor time at the host, from the differences
+# between rows of tests.soak.control_cost with 4 hosts and 4, 24 and 48 targets.
 RENEWALS_PER_SECOND = 1 / 0.3
-ROUTE_NEWS_BYTES = 32
+RENEWAL_BYTES = 500.0
+RENEWAL_CPU_US = 1_050.0
+ROW_NEWS_BYTES = 600.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,7 +84,7 @@
     return [
         _entry(slopes, rate),
         _dispatcher(slopes),
-        _membership(slopes),
+        _membership(),
         _assignment_table(slopes),
         _intents(slopes, rate),
         _metrics(slopes),
@@ -98,15 +104,22 @@
 def _dispatcher(slopes: dict[str, Slope]) -> Estimate:
     round_us, state = at(slopes["dispatcher: renewal round of a group"], SLICES_PER_GROUP)
     rounds = RENEWALS_PER_SECOND
-    messages = rounds * TARGETS_PER_NODE * 2
-    return Estimate("dispatcher (grants)", state, messages, 0.0, rounds * round_us / 1e6)
+    renewals = rounds * TARGETS_PER_NODE
+    core = (rounds * round_us + renewals * RENEWAL_CPU_US) / 1e6
+    return Estimate("dispatcher (grants)", state, renewals * 2, renewals * RENEWAL_BYTES, core)
 
 
-def _membership(slopes: dict[str, Slope]) -> Estimate:
-    beat_us, beat_bytes = at(slopes["membership: heartbeat"], 1)
-    beats = HEARTBEAT_PAIRS * HEARTBEATS_PER_SECOND + SLOW_PEERS * SLOW_HEARTBEATS_PER_SECOND
-    # One host of a pair asks and the other answers.
-    return Estimate("membership", 0.0, beats * 2, beats * 2 * beat_bytes, beats * beat_us / 1e6)
+def _membership() -> Estimate:
+    state = NODES * TARGETS_PER_NODE * CATALOG_ENTRY_BYTES
+    return Estimate(
+        "membership, host list, notes",
+        state,
+        MEMBERSHIP_MESSAGES_PER_SECOND,
+        MEMBERSHIP_BYTES_PER_SECOND,
+        MEMBERSHIP_CORE,
+        reads=PLATFORM_READS_PER_SECOND,
+        writes=CATALOG_CHANGES_PER_DAY * 2 / DAY_SECONDS,
+    )
 
 
 def _assignment_table(slopes: dict[str, Slope]) -> Estimate:
@@ -118,7 +131,7 @@
         "assignment table",
         row_bytes * 2,
         writes,
-        writes * ROUTE_NEWS_BYTES,
+        writes * ROW_NEWS_BYTES,
         writes / NODES * row_us / 1e6,
         writes=writes,
     )
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -65,7 +65,7 @@
     def __init__(self, urls: dict[str, str], keys: Sequence[str], seed: int) -> None:
         self.operations: list[Operation] = []
         self._urls = urls
-        self._keys = keys
+        self.keys = keys
         self._random = Random(seed)
         self._stopped = False
 
@@ -96,7 +96,7 @@
     def _next(self) -> Operation:
         method = self._random.choice(["GET", "POST"])
         key = uuid7(self._random) if method == "POST" else ""
-        return Operation("permits", self._random.choice(self._keys), method, key)
+        return Operation("permits", self._random.choice(self.keys), method, key)
 
     async def _perform(self, client: httpx.AsyncClient, operation: Operation) -> None:
         for _ in range(MAX_ATTEMPTS):
