Answer unknown for older keys of slices that came from another group

Cause: records of non-idempotent requests stay with the group that sent them. After a slice moved, the new group found no record of a repeated request and would have run it a second time. Ruled out: moving the records with the row; its transaction would wait for a transfer between hosts. Change: a group's knowledge horizon restarts for gained slices alone; keys made before the slice was first served there, or without a time, are unknown until the retention has passed. Before: KnowledgeHorizon(known=True) let any key of a gained slice run. Conclusion: invariant 7 no longer depends on moves between groups; following records stay open.

--- a/radishshunt/dispatch/group.py
+++ b/radishshunt/dispatch/group.py
@@ -185,6 +185,8 @@
 
     def update_row(self, row: GroupRow, generation: int) -> None:
         """Go on under a new row."""
+        kept = self.row.slices.keys() & row.slices.keys()
+        gained = row.slices.keys() - kept
         self.row = row
         for name in self._add_targets(row):
             # A target that joins a running dispatcher is taken to be cold.
@@ -194,6 +196,12 @@
         if not continues:
             self._horizon.restart(known)
             self._replicator.resync()
+        if gained:
+            # Records stay with the group that a slice comes from, so that an older key of such a
+            # slice may have been run there.
+            self._horizon.note_gained(gained, kept)
+            self._log.set_unknown(self.group)
+            self._replicator.resync()
         self._replicator.update_row(row, generation)
         self._grants.update_row(row, generation, self._grant_seconds())
 
--- a/radishshunt/intent_log.py
+++ b/radishshunt/intent_log.py
@@ -84,6 +84,10 @@
         """Take the news that records that are not here are too old to be needed."""
         self._group(group).known = True
 
+    def set_unknown(self, group: GroupId) -> None:
+        """Take the news that slices whose records are not here were added to a group."""
+        self._group(group).known = False
+
     def follow_row(self, row: GroupRow) -> None:
         """Take a new row of a group."""
         if row.standby_dispatcher == self.me and row.group in self._groups:
--- a/radishshunt/intents.py
+++ b/radishshunt/intents.py
@@ -183,6 +183,18 @@
         self.known = known
         self._since.clear()
 
+    def note_gained(self, gained: Iterable[int], kept: Iterable[int]) -> None:
+        """Take the news that slices came from another group, whose records are not here.
+
+        :param kept: Slices that the group had before; nothing changes for them.
+        """
+        if self.known:
+            # The records of these slices are complete, however old a key is.
+            self._since = dict.fromkeys(kept, -RETENTION_SECONDS)
+            self.known = False
+        for number in gained:
+            self._since.pop(number, None)
+
     def note_served(self, slices: Iterable[int | None], now: float) -> None:
         """Take the news that slices are served under this dispatcher's fences."""
         if not self.known:
--- a/tests/test_intents/test_intents_store.py
+++ b/tests/test_intents/test_intents_store.py
@@ -214,3 +214,30 @@
     assert state.admit(3, 77, 0, True) == "stale-generation"
     assert state.lowest == 4
     assert not GroupRecords().surrender(4)
+
+
+def test_slices_from_another_group_have_a_horizon_of_their_own() -> None:
+    """Guards against running a request again whose record stayed with its slice's former group."""
+    horizon = KnowledgeHorizon(known=True)
+    horizon.note_gained([5], [1, 2])
+    horizon.note_served([1, 2, 5], NOW)
+    assert not horizon.known
+    horizon.check(1, "order 17", NOW, from_caller=True)
+    with pytest.raises(OutcomeOfRequestUnknown):
+        horizon.check(5, "order 17", NOW, from_caller=True)
+    with pytest.raises(OutcomeOfRequestUnknown):
+        horizon.check(5, new_request_id(NOW - 30, 5), NOW, from_caller=True)
+    horizon.check(5, new_request_id(NOW + 2, 5), NOW + 2, from_caller=False)
+    assert not horizon.passed([1, 2, 5], NOW + RETENTION_SECONDS - 1)
+    assert horizon.passed([1, 2, 5], NOW + RETENTION_SECONDS)
+
+
+def test_slices_gained_while_records_are_missing_begin_anew() -> None:
+    """Guards against a horizon that is kept for a slice that left and came back."""
+    horizon = KnowledgeHorizon(known=False)
+    horizon.note_served([1, 5], NOW - RETENTION_SECONDS)
+    horizon.note_gained([5], [1])
+    horizon.note_served([1, 5], NOW)
+    horizon.check(1, "order 17", NOW, from_caller=True)
+    with pytest.raises(OutcomeOfRequestUnknown):
+        horizon.check(5, "order 17", NOW, from_caller=True)
