Move a group's clients and lanes out of its dispatcher

Change: dispatch/group_targets.py owns the clients, lanes and the condition of a group's targets; no change of behaviour. One test reaches the clients under their new place.

--- a/radishshunt/dispatch/group.py
+++ b/radishshunt/dispatch/group.py
@@ -8,8 +8,7 @@
 import trio
 
 from radishshunt.dispatch.grants import GrantKeeper
-from radishshunt.dispatch.lane import Lane
-from radishshunt.dispatch.load import LoadCounter
+from radishshunt.dispatch.group_targets import GroupTargets
 from radishshunt.dispatch.once import OnceRunner
 from radishshunt.dispatch.replication import Replicator
 from radishshunt.errors import NotOwner, NotRun, OutcomeOfRequestUnknown
@@ -18,11 +17,9 @@
 from radishshunt.intents import KnowledgeHorizon
 from radishshunt.logs import decision
 from radishshunt.model import new_incarnation, read_body
-from radishshunt.policy.balancing import Candidate
 from radishshunt.policy.budgets import REFUSAL_RATIO, RETRY_RATIO, TokenBudget
-from radishshunt.policy.profile import Adaptive
 from radishshunt.quarantine import Quarantine
-from radishshunt.targets import Envelope, TargetClient
+from radishshunt.targets import Envelope
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -77,7 +74,6 @@
         quarantine: Quarantine | None = None,
         former_hosts: Iterable[str] = (),
     ) -> None:
-        self._local_address = local_address
         self._log = log = log or IntentLog(row.dispatcher, None, clock)
         self._quarantine = quarantine or Quarantine()
         self._former_hosts = tuple(former_hosts)
@@ -89,26 +85,22 @@
         self._directory = directory
         self._limits = limits
         self._clock = clock
-        self._clients: dict[str, TargetClient] = {}
-        self._lanes: dict[str, Lane] = {}
-        self._profile = Adaptive()
-        self._balancing = self._profile.balancing()
-        self._stragglers = self._profile.stragglers()
-        self._incarnations: dict[str, int] = {}
+        self._targets = GroupTargets(
+            directory, limits.queue_per_target, clock, self._spawn, local_address
+        )
         self._refusals = TokenBudget(REFUSAL_RATIO)
-        self._load_counter = LoadCounter(clock)
         self._changed = trio.Event()
         # Returns whether this host's knowledge of withdrawn targets is recent enough at a time.
         self.may_send: Callable[[float], bool] | None = None
-        self._add_targets(row)
+        self._targets.add((*row.targets, *row.unfenced))
         self._grants = GrantKeeper(
             row,
             generation,
             self._grant_seconds(),
-            self._clients,
+            self._targets.clients,
             clock,
             self._notify,
-            self._on_incarnation,
+            self._targets.on_incarnation,
         )
         self._scope = trio.CancelScope()
         known = log.lead(self.group, generation, first=row.generation == FIRST_GENERATION)
@@ -140,20 +132,16 @@
     @property
     def load(self) -> float:
         """Mean load of the group's targets."""
-        lanes = [self._lanes[name] for name in self.row.targets if name in self._lanes]
-        return sum(lane.load for lane in lanes) / len(lanes) if lanes else 0.0
+        return self._targets.load(self.row.targets)
 
     def take_load(self) -> GroupLoad:
         """Return the group's load since the last call."""
-        lanes = {name: self._lanes[name] for name in self.row.targets if name in self._lanes}
-        return self._load_counter.take(
-            lanes, self._stragglers, self._profile.drain(), self._takes_work
-        )
+        return self._targets.take_load(self.row.targets, self._takes_work)
 
     @property
     def queued(self) -> int:
         """Number of requests that wait for a slot."""
-        return sum(lane.queued for lane in self._lanes.values())
+        return self._targets.queued
 
     def serving(self, slice_number: int) -> Serving | None:
         """Return which target may serve a slice now, or ``None`` if none may."""
@@ -188,9 +176,9 @@
         kept = self.row.slices.keys() & row.slices.keys()
         gained = row.slices.keys() - kept
         self.row = row
-        for name in self._add_targets(row):
+        for name in self._targets.add((*row.targets, *row.unfenced)):
             # A target that joins a running dispatcher is taken to be cold.
-            self._lanes[name].on_cold()
+            self._targets.lanes[name].on_cold()
         continues = self._log.continues(self.group, generation)
         known = self._log.lead(self.group, generation, first=False)
         if not continues:
@@ -223,8 +211,7 @@
                 await self._replicator.drain(REPORT_SECONDS)
                 records.cancel_scope.cancel()
         finally:
-            for client in self._clients.values():
-                await client.aclose()
+            await self._targets.aclose()
 
     async def handle(self, req: Request, slice_number: int | None) -> Response:
         """Serve a request.
@@ -237,7 +224,7 @@
             raise NotRun("body-too-large", "the body is over the limit", status=413)
         self._refusals.earn()
         self._retries.earn()
-        self._load_counter.count(slice_number)
+        self._targets.count(slice_number)
         if req.idempotent:
             return await self._run(req, body, slice_number, _nothing)
         with trio.move_on_after(max(0.0, req.deadline - self._clock.now())):
@@ -326,8 +313,8 @@
         serving: Serving,
         ready: Callable[[], Awaitable[None]],
     ) -> Response:
-        lane = self._lanes[serving.target]
-        client = self._clients[serving.target]
+        lane = self._targets.lanes[serving.target]
+        client = self._targets.clients[serving.target]
         turn = await lane.acquire(req.deadline)
         handed_over = answered = False
 
@@ -345,8 +332,7 @@
             answered = True
             return resp
         except NotRun as exc:
-            if self._shows_cold(exc.reason, serving.target):
-                lane.on_cold()
+            self._targets.on_refusal(serving.target, exc.reason)
             raise
         except OutcomeOfRequestUnknown as exc:
             if exc.reason == "connection-broke" and await client.control.check_death(incarnation):
@@ -398,8 +384,8 @@
             reason="owner" if slice_number is not None else "least-loaded",
         )
         envelope = Envelope(self.group.group, slice_number, serving.epoch, deadline)
-        resp = await self._clients[serving.target].send(req, body, envelope, on_ended)
-        self._stragglers.on_answer(serving.target, self._clock.now() - now)
+        resp = await self._targets.clients[serving.target].send(req, body, envelope, on_ended)
+        self._targets.on_answer(serving.target, self._clock.now() - now)
         return resp
 
     async def _keep_records(self) -> None:
@@ -453,48 +439,11 @@
         }
         if not found:
             return None
-        return found[self._balancing.pick([self._candidate(name) for name in found]).name]
-
-    def _candidate(self, name: str) -> Candidate:
-        state = self._lanes[name].state
-        now = self._clock.now()
-        slowness = self._stragglers.slowness(name, state.stuck_seconds(now))
-        return Candidate(name, state.outstanding, state.bound(now), slowness)
-
-    def _shows_cold(self, reason: str, target: str) -> bool:
-        """Return whether a refusal is evidence of a cold start.
-
-        A failed connection is, unless grants already name the target's incarnation.
-        """
-        spec = self._clients[target].spec
-        return reason == "cold" or (reason == "connect-failed" and not spec.checks_fences)
-
-    def _on_incarnation(self, target: str, incarnation: int) -> None:
-        known = self._incarnations.setdefault(target, incarnation)
-        if known != incarnation:
-            self._incarnations[target] = incarnation
-            self._lanes[target].on_cold()
+        return found[self._targets.pick(found)]
 
     def _takes_work(self, target: str) -> bool:
         return self._directory.catalog.takes_work(target) and target not in self.lost_targets()
 
-    def _add_targets(self, row: GroupRow) -> list[str]:
-        """Make the lanes of a row's targets and return the names of the new ones."""
-        added = []
-        for name in (*row.targets, *row.unfenced):
-            target = self._directory.catalog.targets.get(name)
-            if target is not None and name not in self._lanes:
-                limit = self._limits.queue_per_target
-                state = self._profile.lane(
-                    target.slots, target.cold_slots, target.cold_seconds, limit
-                )
-                self._lanes[name] = Lane(state, self._clock)
-                added.append(name)
-                self._clients[name] = TargetClient(
-                    target, self._local_address, clock=self._clock, spawn=self._spawn
-                )
-        return added
-
     def _grant_seconds(self) -> float:
         return self._directory.catalog.services[self.group.service].grant_seconds
 
--- a/tests/test_dispatch/test_dispatch_isolation.py
+++ b/tests/test_dispatch/test_dispatch_isolation.py
@@ -43,7 +43,7 @@
         sent.append(req.id)
         return "answer"
 
-    monkeypatch.setattr(dispatcher._clients["permits-01"], "send", send)
+    monkeypatch.setattr(dispatcher._targets.clients["permits-01"], "send", send)
     serving = Serving("permits-01", 4, clock.now() + 1.0)
     dispatcher.may_send = lambda now: False
     with pytest.raises(NotRun) as caught:
