Bound the pause after a platform outage so that an operator is not refused for long

Cause: a host's circuit breaker paused for up to 12 s, so that a note could still be refused as 'platform down' 10 s after the platform had recovered; hypothesis found it at failing=0.59375, losing=0.75, seed=262. Change: the longest pause is 5 s on average, 7.5 s with jitter; the example stays in the test. Before: Conflict, since the first note was never accepted. After: that example and three others pass, as do 75 tests of test_platform and test_release. Conclusion: in an outage a reader calls 1.6 times as often; 72 readers stay under 20 calls a second.

--- a/radishshunt/platform/breaker.py
+++ b/radishshunt/platform/breaker.py
@@ -17,7 +17,8 @@
 # One lost answer must not stop the read that finds out how the call ended.
 FAILURES_BEFORE_OPENING = 3
 FIRST_PAUSE_SECONDS = 0.5
-LARGEST_PAUSE_SECONDS = 8.0
+# With jitter at most 7.5 s, so that an operator is not refused for long after an outage.
+LARGEST_PAUSE_SECONDS = 5.0
 
 
 class CircuitBreaker:
--- a/tests/test_platform/test_platform_http.py
+++ b/tests/test_platform/test_platform_http.py
@@ -11,7 +11,7 @@
 import pytest
 import trio
 import trio.testing
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from radishshunt.clock import TrioClock
@@ -252,6 +252,7 @@
 
 @settings(max_examples=20, deadline=None)
 @given(failing=st.floats(0.0, 0.6), losing=st.floats(0.0, 0.9), seed=st.integers(0, 1000))
+@example(failing=0.59375, losing=0.75, seed=262)  # The client paused past the end of the outage.
 def test_notes_are_accepted_once_through_a_bad_platform(
     failing: float, losing: float, seed: int
 ) -> None:
