Count no loss of a target that was already known to have ended

Behind something that accepts connections for a lost target, a repeated read broke again, and each attempt counted as a further loss under a made-up incarnation; two attempts at one dead target were enough for a refusal. Change: a request is a suspect only if the target had been seen alive before it was sent.

--- a/radishshunt/dispatch/group.py
+++ b/radishshunt/dispatch/group.py
@@ -16,7 +16,7 @@
 from radishshunt.intent_log import IntentLog
 from radishshunt.intents import KnowledgeHorizon
 from radishshunt.logs import decision
-from radishshunt.model import new_incarnation, read_body
+from radishshunt.model import read_body
 from radishshunt.policy.budgets import REFUSAL_RATIO, RETRY_RATIO, TokenBudget
 from radishshunt.quarantine import Quarantine
 from radishshunt.targets import Envelope
@@ -337,7 +337,9 @@
             self._targets.on_refusal(serving.target, exc.reason)
             raise
         except OutcomeOfRequestUnknown as exc:
-            if exc.reason == "connection-broke" and await client.control.check_death(incarnation):
+            # A target not seen since its last run ended did not die of a request sent meanwhile.
+            broke = bool(incarnation) and exc.reason == "connection-broke"
+            if broke and await client.control.check_death(incarnation):
                 self._note_suspect(req, print_, serving.target, incarnation)
             raise
         finally:
@@ -345,8 +347,7 @@
                 release()
 
     def _note_suspect(self, req: Request, print_: int, target: str, incarnation: int) -> None:
-        death = incarnation or new_incarnation()
-        self._quarantine.note_death(print_, req.idempotency_key, death, self._clock.now())
+        self._quarantine.note_death(print_, req.idempotency_key, incarnation, self._clock.now())
         decision(
             "suspect",
             service=req.service,
