--- a/radishshunt/clock.py
+++ b/radishshunt/clock.py
@@ -33,6 +33,13 @@
         return time.time()
 
 
+class BootClock(Clock):
+    """Seconds since the machine's start, suspension included; for leases on one machine."""
+
+    def now(self) -> float:
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class TrioClock(Clock):
     """Time of the running trio clock, so that tests can use ``trio.testing.MockClock``.
 
--- /dev/null
+++ b/radishshunt/gateway/app.py
@@ -0,0 +1,110 @@
+"""A host of the gateway: its parts and how they start and stop."""
+
+from __future__ import annotations
+
+import json
+import logging
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from radishshunt.clock import BootClock
+from radishshunt.gateway.coordinator import Coordinator, HeatSource
+from radishshunt.gateway.follower import Follower
+from radishshunt.gateway.front import Front
+from radishshunt.gateway.leadership import Leadership
+from radishshunt.gateway.rows import Topic
+from radishshunt.gateway.sender import Sender
+from radishshunt.gateway.view import View
+from radishshunt.http_server import HttpServer
+from radishshunt.logs import decision
+from radishshunt.memory import BodyMemory
+from radishshunt.placement.key_ranges import Heat
+from radishshunt.policy.direct.target_load import FIRST_WORK_SECONDS
+from radishshunt.supervisor import Supervisor
+
+if TYPE_CHECKING:
+    from radishshunt.gateway.protocol import TargetProtocol
+    from radishshunt.gateway.rows import RowReader, RowStore
+    from radishshunt.gateway.settings import HostSettings
+
+logger = logging.getLogger(__name__)
+
+# Memory for the bodies of all requests; a host has 300 MB.
+BODY_BYTES = 96 * 1024 * 1024
+# The platform takes a host out after two checks, one a second, without success.
+OUT_OF_ROTATION_SECONDS = 2.6
+# Time before the platform kills a host that was told to stop.
+STOP_MARGIN_SECONDS = 0.6
+
+
+class OwnHeat(HeatSource):
+    """Uniform load, before hosts report theirs."""
+
+    def heat(self, service: str) -> Heat:
+        return Heat({})
+
+    def work_seconds(self, target: str) -> float:
+        return FIRST_WORK_SECONDS
+
+
+class GatewayHost:
+    """One host, built from its settings and the platform's services."""
+
+    def __init__(
+        self,
+        cfg: HostSettings,
+        store: RowStore,
+        reader: RowReader,
+        protocol: TargetProtocol,
+        ready_path: str,
+    ) -> None:
+        self.cfg = cfg
+        self.leaving = False
+        self.view = View(reader, BootClock())
+        self._store = store
+        self._ready_path = ready_path
+        self.sender = Sender(cfg, self.view, protocol)
+        self.front = Front(self.view, self.sender, protocol, BodyMemory(BODY_BYTES))
+        self.leadership = Leadership(cfg, self.view, store)
+        self.coordinator = Coordinator(
+            cfg, self.view, self.leadership, protocol, OwnHeat(), self.view.clock
+        )
+        self._callers = HttpServer(self.front.app, cfg.callers, name="callers")
+        self._checks = HttpServer(self._check_app, cfg.ready, name="ready")
+        self._supervisor = Supervisor(self.view.clock)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        decision("start", host=self.cfg.name, callers=self.cfg.callers)
+        parts = {f"follow-{t.value}": self._follower(t).run for t in Topic}
+        parts["callers"] = self._callers.run
+        parts["ready"] = self._checks.run
+        parts["coordinator"] = self.coordinator.run
+        await self._supervisor.run(parts)
+
+    async def stop(self) -> None:
+        """Leave the rotation, finish the requests that run, and return."""
+        stop_at = trio.current_time() + self.cfg.bounds.grace - STOP_MARGIN_SECONDS
+        self.leaving = True
+        self._callers.leaving = True
+        decision("stop", host=self.cfg.name, running=self.front.running)
+        await self.leadership.give_up()
+        await trio.sleep(OUT_OF_ROTATION_SECONDS)
+        while self.front.running and trio.current_time() < stop_at:
+            await trio.sleep(0.05)
+
+    def _follower(self, topic: Topic) -> Follower:
+        return Follower(topic, self.view, self._store, self._needs_store)
+
+    def _needs_store(self) -> bool:
+        return True
+
+    async def _check_app(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer the platform's readiness check."""
+        ready = scope["path"] == self._ready_path and self.view.complete and not self.leaving
+        body = json.dumps({"ready": ready}).encode()
+        headers = [(b"content-length", str(len(body)).encode())]
+        status = 200 if ready else 503
+        await send({"type": "http.response.start", "status": status, "headers": headers})
+        await send({"type": "http.response.body", "body": body, "more_body": False})
--- /dev/null
+++ b/radishshunt/gateway/coordinator.py
@@ -0,0 +1,450 @@
+"""The leading host's work: who owns which keys, and the grants that say so."""
+
+from __future__ import annotations
+
+import logging
+import math
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import trio
+
+from radishshunt.errors import OutcomeUnknown, PlatformUnavailable, ProtocolError
+from radishshunt.gateway.key_maps import (
+    KEY_MAP_PREFIX,
+    encode_key_map,
+    split_ranges,
+)
+from radishshunt.gateway.leadership import LeaseLost
+from radishshunt.gateway.model import KeyMap, KeyRange
+from radishshunt.gateway.orders import (
+    CLOCK_FACTOR,
+    HOLD_SECONDS,
+    LONG_HOLD_SECONDS,
+    RENEW_SECONDS,
+    FenceTooLow,
+    TargetOrders,
+)
+from radishshunt.gateway.rows import Change, Row, Topic
+from radishshunt.logs import decision
+from radishshunt.placement.key_ranges import Heat, Holder, Move, plan_first, plan_moves
+
+if TYPE_CHECKING:
+    from radishshunt.clock import Clock
+    from radishshunt.gateway.leadership import Leadership
+    from radishshunt.gateway.model import Service, TargetEntry
+    from radishshunt.gateway.protocol import TargetProtocol
+    from radishshunt.gateway.settings import HostSettings
+    from radishshunt.gateway.view import Target, View
+
+logger = logging.getLogger(__name__)
+
+PLAN_SECONDS = 0.2
+# At the first start, targets register within this time of each other.
+FIRST_PLAN_SECONDS = 1.5
+# The store counts as silent after this time, and grants are made to last.
+STORE_SILENT_SECONDS = 1.0
+# Renewals that fail for this long make a target's keys go to others.
+LOST_SECONDS = 1.2
+COMMIT_RETRY_SECONDS = 0.1
+# Fencing tokens that a leader may draw between two writes of a key map.
+TERM_FENCE_GAP = 1000
+# Share of a cold target's bound that placement plans for.
+COLD_PLAN_SHARE = 0.5
+
+
+@dataclass(slots=True, eq=False)
+class ActiveMove:
+    """A move on its way.
+
+    :param handover: Text of the release, empty without one.
+    """
+
+    service: str
+    first: int
+    last: int
+    source: str
+    to: str
+    handover: str = ""
+
+
+@dataclass(slots=True)
+class ServiceKeys:
+    """Keys of one service in this term.
+
+    :param version: Version of the row that holds the key map.
+    """
+
+    key_map: KeyMap
+    version: int
+    moves: list[ActiveMove] = field(default_factory=list)
+    ready: list[ActiveMove] = field(default_factory=list)
+    reserved_fence: int = 0
+
+    def draw_fence(self) -> int:
+        """Return a fencing token that was never used."""
+        self.reserved_fence = max(self.reserved_fence, self.key_map.next_fence)
+        fence = self.reserved_fence
+        self.reserved_fence += 1
+        return fence
+
+
+class HeatSource:
+    """Load by key and capacity by target, as measured by all hosts."""
+
+    def heat(self, service: str) -> Heat:
+        """Return the measured load of a service's keys."""
+        raise NotImplementedError
+
+    def work_seconds(self, target: str) -> float:
+        """Return the mean time for which a request holds a slot of a target."""
+        raise NotImplementedError
+
+
+class Coordinator:
+    """Orders keys while this host leads."""
+
+    def __init__(
+        self,
+        cfg: HostSettings,
+        view: View,
+        leadership: Leadership,
+        protocol: TargetProtocol,
+        heat: HeatSource,
+        clock: Clock,
+    ) -> None:
+        self._cfg = cfg
+        self._view = view
+        self._leadership = leadership
+        self._protocol = protocol
+        self._heat = heat
+        self._clock = clock
+        self._services: dict[str, ServiceKeys] = {}
+        self._orders: dict[tuple[str, int], TargetOrders] = {}
+        self._nursery: trio.Nursery | None = None
+        self._started_at = 0.0
+
+    @property
+    def moving(self) -> dict[str, list[tuple[int, int]]]:
+        """Keys on their way to another target, by service."""
+        return {
+            name: [(move.first, move.last) for move in keys.moves]
+            for name, keys in self._services.items()
+            if keys.moves
+        }
+
+    async def run(self) -> None:
+        """Lead whenever the lease allows it."""
+        while True:
+            await self._leadership.wait_for_term()
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._keep_term, nursery.cancel_scope)
+                    await self._lead(nursery)
+            except* LeaseLost:
+                logger.info("another host leads now")
+            finally:
+                self._end_term()
+
+    async def _keep_term(self, scope: trio.CancelScope) -> None:
+        await self._leadership.keep()
+        scope.cancel()
+
+    def _end_term(self) -> None:
+        for orders in self._orders.values():
+            orders.close()
+        self._orders.clear()
+        self._services.clear()
+        self._nursery = None
+
+    async def _lead(self, nursery: trio.Nursery) -> None:
+        self._nursery = nursery
+        self._started_at = self._clock.now()
+        longest = self._cfg.bounds.hold_max * CLOCK_FACTOR + 0.5
+        held_until = self._started_at + longest
+        for name, index in self._view.key_maps.items():
+            keys = ServiceKeys(index.key_map, self._view.key_map_versions[name])
+            # The earlier leader may have drawn tokens that it did not write.
+            keys.reserved_fence = index.key_map.next_fence + TERM_FENCE_GAP
+            self._services[name] = keys
+            for item in index.key_map.ranges:
+                self._adopt(item, held_until)
+        while True:
+            self._plan()
+            self._view.set_moving(self.moving)
+            await trio.sleep(PLAN_SECONDS)
+
+    def _adopt(self, item: KeyRange, held_until: float) -> None:
+        """Take a range that an earlier leader granted."""
+        target = self._view.targets.get(item.target)
+        if target is None or target.entry.life != item.life:
+            return
+        self._orders_for(target.entry).adopt(item, held_until)
+
+    def _orders_for(self, entry: TargetEntry) -> TargetOrders:
+        key = (entry.id, entry.life)
+        found = self._orders.get(key)
+        if found is None:
+            found = TargetOrders(entry, self._protocol, self._clock, lambda: self._leadership.valid)
+            self._orders[key] = found
+            if self._nursery is not None:
+                self._nursery.start_soon(self._keep_grants, found)
+        return found
+
+    async def _keep_grants(self, orders: TargetOrders) -> None:
+        """Renew a target's grants."""
+        while True:
+            silent = self._view.store_age > STORE_SILENT_SECONDS
+            seconds = LONG_HOLD_SECONDS if silent else HOLD_SECONDS
+            seconds = min(seconds, self._cfg.bounds.hold_max)
+            try:
+                await orders.renew(seconds)
+            except FenceTooLow:
+                decision("fence-too-low", target=orders.entry.id)
+                self._regrant(orders)
+            await trio.sleep(RENEW_SECONDS)
+
+    def _regrant(self, orders: TargetOrders) -> None:
+        """Give a target its keys anew with higher fencing tokens."""
+        for held in list(orders.held.values()):
+            self._start_move(held.keys, orders.entry.id, orders.entry.id)
+
+    def _plan(self) -> None:
+        cfg = self._view.cfg
+        if cfg is None:
+            return
+        for service in cfg.services.values():
+            if not service.keyed:
+                continue
+            keys = self._services.get(service.name)
+            if keys is None:
+                self._plan_first(service)
+            elif not keys.key_map.ranges:
+                continue
+            else:
+                self._plan_service(service, keys)
+
+    def _plan_first(self, service: Service) -> None:
+        """Divide the keys of a service for the first time."""
+        if self._clock.now() < self._started_at + FIRST_PLAN_SECONDS:
+            return
+        holders = self._holders(service)
+        moves = plan_first(holders.values(), self._heat.heat(service.name))
+        if not moves:
+            return
+        keys = self._services[service.name] = ServiceKeys(KeyMap(), 0)
+        for move in moves:
+            active = ActiveMove(service.name, move.first, move.last, "", move.to)
+            keys.moves.append(active)
+            keys.ready.append(active)
+        self._spawn_commit(service.name)
+
+    def _plan_service(self, service: Service, keys: ServiceKeys) -> None:
+        holders = self._holders(service)
+        heat = self._heat.heat(service.name)
+        ranges = list(keys.key_map.ranges)
+        for move in keys.moves:
+            ranges = [
+                item
+                for item in split_ranges(ranges, move.first, move.last)
+                if not (move.first <= item.first and item.last <= move.last)
+            ]
+            if move.to in holders:
+                holders[move.to].load += heat.load(move.first, move.last)
+        for item in ranges:
+            entry = self._view.targets.get(item.target)
+            if item.target in holders and (entry is None or entry.entry.life != item.life):
+                # The target has started anew and holds nothing.
+                self._start_move(item, item.target, "")
+        moving = {(m.first, m.last) for m in keys.moves}
+        ranges = [item for item in ranges if (item.first, item.last) not in moving]
+        for move in plan_moves(ranges, holders, heat):
+            self._begin(service.name, keys, move)
+
+    def _holders(self, service: Service) -> dict[str, Holder]:
+        holders = {}
+        for target in self._view.targets_of(service.name):
+            entry = target.entry
+            orders = self._orders.get((entry.id, entry.life))
+            lost = (
+                orders is not None
+                and orders.failing_since is not None
+                and self._clock.now() - orders.failing_since > LOST_SECONDS
+            )
+            usable = self._usable(target) and not lost
+            cold = self._view.is_cold(target)
+            limit = math.inf
+            if cold and service.cold_per_second:
+                limit = COLD_PLAN_SHARE * service.cold_per_second
+            holders[entry.id] = Holder(
+                id=entry.id,
+                capacity=entry.slots / self._heat.work_seconds(entry.id),
+                accepts=usable,
+                keeps=usable,
+                limit=limit,
+            )
+        return holders
+
+    def _usable(self, target: Target) -> bool:
+        return target.leaving_since is None and target.entry.domain not in self._view.evacuated
+
+    def _start_move(self, item: KeyRange, source: str, to: str) -> None:
+        for name, keys in self._services.items():
+            if item in keys.key_map.ranges or any(
+                r.first <= item.first and item.last <= r.last for r in keys.key_map.ranges
+            ):
+                if any(m.first <= item.last and item.first <= m.last for m in keys.moves):
+                    return
+                holders = {h.id: h for h in self._accepting(name)}
+                chosen = to if to in holders else ""
+                if not chosen and holders:
+                    chosen = min(holders.values(), key=lambda h: h.load).id
+                if chosen and self._fits(name, item):
+                    self._begin(name, keys, Move(item.first, item.last, source, chosen))
+                return
+
+    def _fits(self, service: str, item: KeyRange) -> bool:
+        target = self._view.targets.get(item.target)
+        return target is None or target.entry.service == service
+
+    def _accepting(self, service: str) -> list[Holder]:
+        cfg = self._view.cfg
+        if cfg is None or service not in cfg.services:
+            return []
+        return [h for h in self._holders(cfg.services[service]).values() if h.accepts]
+
+    def _begin(self, service: str, keys: ServiceKeys, move: Move) -> None:
+        active = ActiveMove(service, move.first, move.last, move.source, move.to)
+        keys.moves.append(active)
+        decision(
+            "move",
+            service=service,
+            first=move.first,
+            last=move.last,
+            source=move.source,
+            to=move.to,
+        )
+        if self._nursery is not None:
+            self._nursery.start_soon(self._free, keys, active)
+
+    async def _free(self, keys: ServiceKeys, move: ActiveMove) -> None:
+        """Wait until the source of a move no longer holds the keys."""
+        owners = [
+            item
+            for item in split_ranges(list(keys.key_map.ranges), move.first, move.last)
+            if move.first <= item.first and item.last <= move.last
+        ]
+        for owner in owners:
+            handover = await self._free_range(keys, owner)
+            move.handover = handover if len(owners) == 1 else ""
+        keys.ready.append(move)
+        self._spawn_commit(move.service)
+
+    async def _free_range(self, keys: ServiceKeys, owner: KeyRange) -> str:
+        orders = self._orders.get((owner.target, owner.life))
+        if orders is None:
+            await self._wait_until(self._forgotten_until(owner), owner)
+            return ""
+        piece = orders.cut(owner.first, owner.last)
+        if piece is None:
+            return ""
+        if self._has_ended(owner):
+            return ""
+        handover = await orders.release(piece, keys.draw_fence)
+        if handover is not None:
+            return handover
+        decision("release-failed", target=owner.target, first=owner.first, last=owner.last)
+        await self._wait_until(piece.until, owner)
+        return ""
+
+    def _forgotten_until(self, owner: KeyRange) -> float:
+        """Return until when a target may hold keys of which this term has no record."""
+        return self._started_at + self._cfg.bounds.hold_max * CLOCK_FACTOR + 0.5
+
+    async def _wait_until(self, moment: float, owner: KeyRange) -> None:
+        while self._clock.now() < moment and not self._has_ended(owner):
+            await trio.sleep(0.1)
+
+    def _has_ended(self, owner: KeyRange) -> bool:
+        """Return whether the process that was granted the keys has certainly ended."""
+        target = self._view.targets.get(owner.target)
+        if target is None:
+            return False
+        if target.entry.life > owner.life:
+            return True
+        address = target.entry.address
+        return any(
+            other.entry.address == address
+            and other.entry.id != owner.target
+            and other.entry.life > owner.life > 0
+            for other in self._view.targets.values()
+        )
+
+    def _spawn_commit(self, service: str) -> None:
+        if self._nursery is not None:
+            self._nursery.start_soon(self._commit, service)
+
+    async def _commit(self, service: str) -> None:
+        """Write the new owners of all moves that are ready, then grant the keys."""
+        keys = self._services[service]
+        await trio.sleep(0.005)
+        ready, keys.ready = keys.ready, []
+        if not ready:
+            return
+        ranges = list(keys.key_map.ranges)
+        granted: list[tuple[KeyRange, ActiveMove]] = []
+        fence = max(keys.key_map.next_fence, keys.reserved_fence)
+        for move in ready:
+            target = self._view.targets.get(move.to)
+            life = target.entry.life if target else 0
+            item = KeyRange(move.first, move.last, move.to, life, fence)
+            fence += 1
+            ranges = [
+                old
+                for old in split_ranges(ranges, move.first, move.last)
+                if not (move.first <= old.first and old.last <= move.last)
+            ]
+            ranges.append(item)
+            granted.append((item, move))
+        ranges.sort(key=lambda r: r.first)
+        keys.reserved_fence = fence
+        new = KeyMap(tuple(ranges), fence)
+        await self._write(service, keys, new)
+        for item, move in granted:
+            if self._nursery is not None:
+                self._nursery.start_soon(self._grant, keys, item, move)
+
+    async def _write(self, service: str, keys: ServiceKeys, new: KeyMap) -> None:
+        """Write a key map; only the leader does, so that a conflict is an own earlier write."""
+        row_key = KEY_MAP_PREFIX + service
+        value = encode_key_map(new)
+        while True:
+            checks = {row_key: keys.version}
+            try:
+                result = await self._leadership.commit(checks, [(row_key, value)])
+            except (PlatformUnavailable, OutcomeUnknown, ProtocolError) as exc:
+                logger.info("writing the key map of %s failed: %s", service, exc)
+                await trio.sleep(COMMIT_RETRY_SECONDS)
+                continue
+            version = result.version
+            row = result.current.get(row_key)
+            if not result.done:
+                if row is None or row.version == keys.version:
+                    continue
+                if row.value != value:
+                    raise LeaseLost
+                version = row.version
+            keys.key_map, keys.version = new, version
+            self._view.apply(Change(Topic.OWN, (Row(row_key, version, value),), 0, whole=False))
+            return
+
+    async def _grant(self, keys: ServiceKeys, item: KeyRange, move: ActiveMove) -> None:
+        target = self._view.targets.get(item.target)
+        if target is not None and target.entry.life == item.life:
+            orders = self._orders_for(target.entry)
+            try:
+                await orders.grant(item, HOLD_SECONDS, move.handover)
+            except FenceTooLow:
+                decision("fence-too-low", target=item.target, fence=item.fence)
+        if move in keys.moves:
+            keys.moves.remove(move)
--- /dev/null
+++ b/radishshunt/gateway/front.py
@@ -0,0 +1,165 @@
+"""The callers' interface: finds the route of each request and passes the answer on."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from radishshunt.caller_exchange import CallerGone, Exchange
+from radishshunt.errors import NotRun, OutcomeOfRequestUnknown, RequestError
+from radishshunt.gateway.protocol import CallerRequest
+from radishshunt.logs import decision
+from radishshunt.policy.direct.shares import WeightedTurns
+from radishshunt.util.headers import HOP_HEADERS, connection_options
+
+if TYPE_CHECKING:
+    from radishshunt.caller_exchange import Receive, Send
+    from radishshunt.gateway.exchange import Answer
+    from radishshunt.gateway.model import CallerLimits, Route
+    from radishshunt.gateway.protocol import TargetProtocol
+    from radishshunt.gateway.sender import Sender
+    from radishshunt.gateway.view import View
+    from radishshunt.memory import BodyLease, BodyMemory
+
+logger = logging.getLogger(__name__)
+
+# Headers that the router sets on its own connections; the host is passed on.
+_CONNECTION_HEADERS = frozenset(name.encode() for name in HOP_HEADERS - {"host"})
+# Time for which a caller that gave none is served at most.
+DEFAULT_SECONDS = 30.0
+
+
+def retry_after_text(seconds: float) -> str:
+    """Return the value of ``Retry-After`` with fractions of a second."""
+    return f"{seconds:.2f}"
+
+
+class Front:
+    """Serves callers, as an ASGI application.
+
+    :ivar running: Requests being served.
+    """
+
+    def __init__(
+        self, view: View, sender: Sender, protocol: TargetProtocol, memory: BodyMemory
+    ) -> None:
+        self.running = 0
+        self._view = view
+        self._sender = sender
+        self._protocol = protocol
+        self._memory = memory
+        self._turns = WeightedTurns()
+
+    async def app(self, scope: Any, receive: Receive, send: Send) -> None:
+        """Serve one request."""
+        exchange = Exchange(scope, receive, send, retry_after_text=retry_after_text)
+        received_at = trio.current_time()
+        lease = self._memory.lease()
+        self.running += 1
+        try:
+            with trio.CancelScope() as watched:
+                exchange.watch(watched)
+                await self._serve(scope, exchange, received_at, lease)
+        finally:
+            lease.close()
+            self.running -= 1
+
+    async def _serve(
+        self, scope: Any, exchange: Exchange, received_at: float, lease: BodyLease
+    ) -> None:
+        req = self._request(scope, received_at)
+        try:
+            route = self._route(req)
+            req.body = await self._body(exchange, lease, req.deadline)
+            answer = await self._answer(req, route)
+        except CallerGone:
+            decision("caller-gone", request_id=req.attempt_id)
+        except RequestError as exc:
+            self._log_refusal(req, exc)
+            await exchange.refuse(exc)
+        except Exception:
+            logger.exception("request %s failed", req.attempt_id)
+            await exchange.refuse(
+                OutcomeOfRequestUnknown("internal", "the router failed", status=500)
+            )
+        else:
+            await exchange.send_whole(answer.status, _answer_headers(answer), answer.body)
+
+    async def _answer(self, req: CallerRequest, route: Route) -> Answer:
+        cfg = self._view.cfg
+        name = self._turns.next(route.name, route.shares)
+        service = cfg.services.get(name) if cfg else None
+        if service is None:
+            raise NotRun("no-service", f"{name} is not configured", retry_after=0.5)
+        return await self._sender.send(req, route, service)
+
+    def _request(self, scope: Any, received_at: float) -> CallerRequest:
+        headers = list(scope["headers"])
+        attempt_id, seconds, key = self._protocol.caller_fields(headers)
+        query = scope["query_string"]
+        target = scope["raw_path"] + (b"?" + query if query else b"")
+        dropped = _CONNECTION_HEADERS | {
+            option.encode()
+            for option in connection_options(
+                (name.decode("latin-1"), value.decode("latin-1")) for name, value in headers
+            )
+        }
+        found = dict(headers)
+        kept = [(name, value) for name, value in headers if name not in dropped]
+        return CallerRequest(
+            method=scope["method"],
+            host=found.get(b"host", b"").decode("latin-1"),
+            path=scope["raw_path"].decode("latin-1"),
+            target=target,
+            headers=kept,
+            attempt_id=attempt_id,
+            key=key,
+            received_at=received_at,
+            deadline=received_at + (seconds if seconds is not None else DEFAULT_SECONDS),
+        )
+
+    def _route(self, req: CallerRequest) -> Route:
+        if self._view.cfg is None:
+            raise NotRun("no-configuration", "this host has no configuration", retry_after=0.5)
+        route = self._view.find_route(req.host, req.path)
+        if route is None:
+            raise NotRun("no-route", f"no route for {req.host}{req.path}", status=404)
+        return route
+
+    async def _body(self, exchange: Exchange, lease: BodyLease, deadline: float) -> bytes:
+        limits: CallerLimits = self._view.cfg.limits
+        if exchange.length is not None and exchange.length > limits.body_bytes:
+            raise _too_large(limits)
+        parts: list[bytes] = []
+        size = 0
+        with trio.move_on_at(deadline):
+            while (data := await exchange.read()) is not None:
+                size += len(data)
+                if size > limits.body_bytes:
+                    raise _too_large(limits)
+                lease.add(len(data))
+                parts.append(data)
+            return b"".join(parts)
+        raise NotRun("slow-body", "the body did not arrive before the deadline", status=408)
+
+    def _log_refusal(self, req: CallerRequest, exc: RequestError) -> None:
+        decision(
+            "refuse",
+            request_id=req.attempt_id,
+            path=req.path,
+            status=exc.status,
+            reason=exc.reason,
+            detail=exc.detail,
+            outcome=exc.outcome,
+            retry_after=exc.retry_after,
+        )
+
+
+def _answer_headers(answer: Answer) -> list[tuple[bytes, bytes]]:
+    return [(name, value) for name, value in answer.headers if name not in _CONNECTION_HEADERS]
+
+
+def _too_large(limits: CallerLimits) -> NotRun:
+    return NotRun("body-too-large", f"the body is over {limits.body_bytes} bytes", status=413)
--- /dev/null
+++ b/radishshunt/gateway/leadership.py
@@ -0,0 +1,186 @@
+"""The lease by which one host at a time orders keys."""
+
+from __future__ import annotations
+
+import json
+import logging
+from random import Random
+from typing import TYPE_CHECKING
+from uuid import uuid4
+
+import trio
+
+from radishshunt.errors import OutcomeUnknown, PlatformUnavailable, ProtocolError
+from radishshunt.gateway.rows import Change, Topic
+from radishshunt.gateway.view import LEADER_KEY
+from radishshunt.logs import decision
+
+if TYPE_CHECKING:
+    from radishshunt.gateway.rows import Commit, RowStore
+    from radishshunt.gateway.settings import HostSettings
+    from radishshunt.gateway.view import View
+
+logger = logging.getLogger(__name__)
+
+# A host may take over when the leader's row has not changed for this long.
+LEASE_SECONDS = 2.5
+# The leader stops this much earlier, counted from when it sent its last renewal.
+LEASE_MARGIN_SECONDS = 0.4
+RENEW_SECONDS = 0.8
+RETRY_SECONDS = 0.2
+WATCH_SECONDS = 0.1
+# Hosts that see the lease expire do not all write at once.
+TAKEOVER_SPREAD_SECONDS = 0.3
+
+
+class LeaseLost(Exception):
+    """This host no longer leads."""
+
+
+class Leadership:
+    """Owns this host's part in the lease.
+
+    :ivar term: Random text of this host's term; empty while it does not lead.
+    """
+
+    def __init__(
+        self, cfg: HostSettings, view: View, store: RowStore, rng: Random | None = None
+    ) -> None:
+        self.term = ""
+        self._cfg = cfg
+        self._view = view
+        self._store = store
+        self._rng = rng or Random()
+        self._valid_until = float("-inf")
+        self._version = 0
+        self._address = f"{cfg.ip}:{cfg.inner_port}"
+        self._commits = trio.Lock()
+
+    @property
+    def valid(self) -> bool:
+        """Whether this host leads at this moment."""
+        return bool(self.term) and self._view.clock.now() < self._valid_until
+
+    async def wait_for_term(self) -> None:
+        """Return once this host leads."""
+        delay = self._rng.uniform(0, TAKEOVER_SPREAD_SECONDS)
+        while True:
+            if self._view.versions[Topic.OWN] and self._may_take(delay):
+                try:
+                    if await self._take():
+                        return
+                except (PlatformUnavailable, OutcomeUnknown, ProtocolError) as exc:
+                    logger.info("taking the lease failed: %s", exc)
+                    await trio.sleep(RETRY_SECONDS)
+            await trio.sleep(WATCH_SECONDS)
+
+    async def keep(self) -> None:
+        """Renew the lease until it is lost or given up."""
+        while self.valid:
+            sent_at = self._view.clock.now()
+            try:
+                async with self._commits:
+                    await self._renew(sent_at)
+                await trio.sleep(RENEW_SECONDS)
+            except (PlatformUnavailable, OutcomeUnknown, ProtocolError) as exc:
+                logger.info("renewing the lease failed: %s", exc)
+                await trio.sleep(RETRY_SECONDS)
+            except LeaseLost:
+                break
+        decision("lease-lost", term=self.term)
+        self.term = ""
+
+    async def commit(self, checks: dict[str, int], writes: list[tuple[str, bytes]]) -> Commit:
+        """Write rows under the lease.
+
+        :raises LeaseLost: If another host leads.
+        """
+        async with self._commits:
+            if not self.valid:
+                raise LeaseLost
+            result = await self._store.commit({LEADER_KEY: self._version, **checks}, writes)
+            row = result.current.get(LEADER_KEY)
+            if row is not None and row.version != self._version:
+                self._adopt(row.version, row.value or b"")
+            return result
+
+    async def give_up(self) -> None:
+        """End the term so that another host takes over at once."""
+        if not self.valid:
+            return
+        async with self._commits:
+            version, self.term = self._version, ""
+            try:
+                with trio.move_on_after(0.5):
+                    await self._store.commit(
+                        {LEADER_KEY: version}, [(LEADER_KEY, _row("", "", ""))]
+                    )
+            except (PlatformUnavailable, OutcomeUnknown, ProtocolError) as exc:
+                logger.info("giving up the lease failed: %s", exc)
+
+    def _may_take(self, delay: float) -> bool:
+        leader = self._view.leader
+        if leader.version == 0 or not leader.host:
+            return True
+        if leader.host == self._cfg.name and leader.address == self._address:
+            # Only this host's earlier process had this name and address, and it has ended.
+            return True
+        return self._view.clock.now() - self._view.leader_seen_at > LEASE_SECONDS + delay
+
+    async def _take(self) -> bool:
+        term = uuid4().hex
+        expected = self._view.leader.version
+        sent_at = self._view.clock.now()
+        value = _row(self._cfg.name, self._address, term)
+        try:
+            result = await self._store.commit({LEADER_KEY: expected}, [(LEADER_KEY, value)])
+        except OutcomeUnknown:
+            result = await self._store.commit({LEADER_KEY: expected}, [(LEADER_KEY, value)])
+        version = result.version
+        row = result.current.get(LEADER_KEY)
+        if not result.done:
+            if row is None or _term(row.value) != term:
+                if row is not None:
+                    self._view.apply(Change(Topic.OWN, (row,), 0, whole=False))
+                return False
+            version = row.version
+        self.term = term
+        self._version = version
+        self._valid_until = sent_at + LEASE_SECONDS - LEASE_MARGIN_SECONDS
+        decision("lease", term=term, version=version)
+        return True
+
+    async def _renew(self, sent_at: float) -> None:
+        value = _row(self._cfg.name, self._address, self.term)
+        result = await self._store.commit({LEADER_KEY: self._version}, [(LEADER_KEY, value)])
+        if result.done:
+            self._version = result.version
+            self._valid_until = sent_at + LEASE_SECONDS - LEASE_MARGIN_SECONDS
+            self._view.store_answered()
+            return
+        row = result.current.get(LEADER_KEY)
+        if row is None:
+            raise LeaseLost
+        self._adopt(row.version, row.value or b"")
+        raise OutcomeUnknown("an earlier renewal took effect late")
+
+    def _adopt(self, version: int, value: bytes) -> None:
+        """Take the version of an own write whose answer was lost.
+
+        :raises LeaseLost: If the row is another host's.
+        """
+        if _term(value) != self.term:
+            self._valid_until = float("-inf")
+            raise LeaseLost
+        self._version = version
+
+
+def _row(host: str, address: str, term: str) -> bytes:
+    return json.dumps({"host": host, "address": address, "term": term}).encode()
+
+
+def _term(value: bytes | None) -> str:
+    try:
+        return str(json.loads(value or b"{}").get("term", ""))
+    except (ValueError, AttributeError):
+        return ""
--- /dev/null
+++ b/radishshunt/gateway/sender.py
@@ -0,0 +1,329 @@
+"""Sends callers' requests to targets: choice, admission, attempts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+from typing import TYPE_CHECKING
+
+import trio
+
+from radishshunt.errors import NotRun, OutcomeOfRequestUnknown
+from radishshunt.gateway.exchange import ExchangeError
+from radishshunt.gateway.model import RequestKind
+from radishshunt.gateway.target_pool import TargetPool
+from radishshunt.logs import decision
+from radishshunt.policy.budgets import TokenBudget
+from radishshunt.policy.direct.cold_rate import ColdRate
+from radishshunt.policy.direct.refusal import may_offer, retry_after
+from radishshunt.policy.direct.target_load import TargetLoad
+
+if TYPE_CHECKING:
+    from radishshunt.gateway.exchange import Answer
+    from radishshunt.gateway.model import Route, Service
+    from radishshunt.gateway.protocol import CallerRequest, TargetProtocol
+    from radishshunt.gateway.settings import HostSettings
+    from radishshunt.gateway.view import Target, View
+
+# Time for which a request waits for keys that are being moved; a move takes a few hundred
+# milliseconds, as the old owner finishes its work.
+MOVE_WAIT_SECONDS = 0.6
+# Part of the operators' retry budget that the hosts use together, since each counts alone.
+BUDGET_PART = 0.75
+# Bytes between failure domains are priced, so that a target of another domain is chosen only
+# when it is expected to begin this much sooner.
+DOMAIN_SECONDS = 0.06
+# Time between the answer at a deadline and the deadline itself.
+ANSWER_MARGIN_SECONDS = 0.012
+# A hop to a target and back takes a few milliseconds.
+HOP_SECONDS = 0.01
+MIN_OFFER_SECONDS = 0.03
+# Failures in a row after which a target without keys is avoided, and for how long.
+AVOID_FAILURES = 2
+AVOID_SECONDS = 1.0
+
+
+@dataclass(slots=True)
+class TargetState:
+    """What this host knows of a target from its own requests.
+
+    :ivar avoid_until: Moment on trio's clock until which others are preferred.
+    """
+
+    pool: TargetPool
+    load: TargetLoad
+    cold: ColdRate = field(default_factory=ColdRate)
+    failures: int = 0
+    avoid_until: float = float("-inf")
+
+
+@dataclass(slots=True)
+class Tries:
+    """What has been tried for one request.
+
+    :ivar sent: Whether it may have run somewhere.
+    :ivar targets: Targets that may have run it.
+    """
+
+    arrivals: int = 0
+    sent: bool = False
+    targets: set[str] = field(default_factory=set)
+    refused_by: set[str] = field(default_factory=set)
+
+
+class Sender:
+    """Routes requests to targets.
+
+    :param hosts: Number of hosts that share the operators' budgets.
+    """
+
+    def __init__(
+        self, cfg: HostSettings, view: View, protocol: TargetProtocol, rng: Random | None = None
+    ) -> None:
+        self.hosts = 12
+        self.arrivals: dict[str, dict[int, int]] = {}
+        self._cfg = cfg
+        self._view = view
+        self._protocol = protocol
+        self._rng = rng or Random()
+        self._states: dict[str, TargetState] = {}
+        self._budgets: dict[str, TokenBudget] = {}
+        self._top: dict[str, int] = {}
+        self._top_version = -1
+
+    def state(self, target: Target) -> TargetState:
+        """Return this host's knowledge of a target."""
+        key = f"{target.entry.id}/{target.entry.address}"
+        found = self._states.get(key)
+        if found is None:
+            found = TargetState(TargetPool(target.entry.address), TargetLoad(target.entry.slots))
+            self._states[key] = found
+        return found
+
+    async def send(self, req: CallerRequest, route: Route, service: Service) -> Answer:
+        """Return the answer of a target.
+
+        :raises NotRun: If no target has run the request, or will.
+        :raises OutcomeOfRequestUnknown: If one may have run it.
+        """
+        self._count(service, req)
+        tries = Tries()
+        deadline = min(req.deadline, req.received_at + route.timeout_seconds)
+        deadline -= ANSWER_MARGIN_SECONDS
+        with trio.move_on_at(deadline):
+            while True:
+                answer = await self._try(req, route, service, tries, deadline)
+                if answer is not None:
+                    return answer
+        if tries.sent:
+            raise OutcomeOfRequestUnknown("timeout", "no answer before the deadline")
+        raise NotRun("timeout", "no target could take the request before its deadline")
+
+    async def _try(
+        self, req: CallerRequest, route: Route, service: Service, tries: Tries, deadline: float
+    ) -> Answer | None:
+        """Offer the request to one target.
+
+        :return: The answer, or ``None`` if another try may follow.
+        """
+        target = await self._choose(req, route, service, tries, deadline)
+        state = self.state(target)
+        if tries.arrivals and not self._budget(service).spend():
+            raise self._given_up(tries, "retry-budget", state)
+        tries.arrivals += 1
+        now = trio.current_time()
+        left = deadline - now
+        outgoing = self._protocol.outgoing(req, target.entry.id, left)
+        wait = state.load.expected_wait(now)
+        repeatable = route.kind is RequestKind.IDEMPOTENT
+        state.load.sent()
+        try:
+            answer = await state.pool.exchange(outgoing, repeatable=repeatable)
+            now, started = trio.current_time(), now
+            report = self._protocol.load(answer)
+            if report is not None:
+                state.load.reported(report.running, report.waiting, report.slowdown, now)
+        except ExchangeError as exc:
+            self._failed(state, now)
+            return self._after_failure(req, route, target, tries, exc)
+        except trio.Cancelled:
+            tries.sent = True
+            raise
+        finally:
+            state.load.ended()
+        self._log(req, route, target, tries, answer.status)
+        if self._protocol.not_run(answer):
+            return await self._after_refusal(answer, target, state, tries, deadline)
+        state.failures = 0
+        if answer.status < 500:
+            state.load.worked(now - started, wait)
+        return answer
+
+    def _after_failure(
+        self, req: CallerRequest, route: Route, target: Target, tries: Tries, exc: ExchangeError
+    ) -> None:
+        self._log(req, route, target, tries, 0, str(exc))
+        if not exc.sent:
+            tries.refused_by.add(target.entry.id)
+            if len(tries.refused_by) >= route.max_attempts + 1:
+                raise self._given_up(tries, "no-connection", self.state(target))
+            return
+        tries.sent = True
+        tries.targets.add(target.entry.id)
+        if route.kind is not RequestKind.IDEMPOTENT:
+            raise OutcomeOfRequestUnknown("no-answer", str(exc), status=502)
+        if tries.arrivals >= route.max_attempts:
+            raise OutcomeOfRequestUnknown("no-answer", str(exc), status=502)
+
+    async def _after_refusal(
+        self, answer: Answer, target: Target, state: TargetState, tries: Tries, deadline: float
+    ) -> None:
+        if self._protocol.is_wrong_target(answer):
+            if tries.arrivals >= 3:
+                raise self._given_up(tries, "no-owner", state)
+            # The owner has changed, or does not know of its keys yet.
+            with trio.move_on_after(MOVE_WAIT_SECONDS / 2):
+                await self._view.changed.wait()
+            return
+        tries.refused_by.add(target.entry.id)
+        if len(tries.refused_by) >= 2 or tries.arrivals >= 3:
+            raise self._given_up(tries, "target-full", state)
+
+    def _given_up(self, tries: Tries, reason: str, state: TargetState) -> Exception:
+        if tries.sent:
+            return OutcomeOfRequestUnknown(reason, "a target may have run it", status=502)
+        wait = state.load.expected_wait(trio.current_time())
+        return NotRun(reason, "no target took it", retry_after=retry_after(wait, self._rng))
+
+    async def _choose(
+        self, req: CallerRequest, route: Route, service: Service, tries: Tries, deadline: float
+    ) -> Target:
+        if service.keyed and req.key is not None:
+            return await self._owner(req, route, service, tries, deadline)
+        return self._least_loaded(route, service, tries, deadline)
+
+    async def _owner(
+        self, req: CallerRequest, route: Route, service: Service, tries: Tries, deadline: float
+    ) -> Target:
+        """Return the owner of a request's key, waiting while its keys are moved."""
+        give_up = min(deadline, trio.current_time() + MOVE_WAIT_SECONDS)
+        while True:
+            changed = self._view.changed
+            owner = self._view.owner(service.name, req.key or 0)
+            target = self._view.targets.get(owner.target) if owner else None
+            moving = self._view.is_moving(service.name, req.key or 0)
+            usable = target is not None and self._view.may_use(target, owner=True)
+            if usable and not moving:
+                break
+            with trio.move_on_at(give_up) as scope:
+                await changed.wait()
+            if scope.cancelled_caught:
+                raise self._without_target(tries, "no-owner", f"key {req.key} has no owner now")
+        if target.entry.id in tries.refused_by:
+            raise self._given_up(tries, "target-full", self.state(target))
+        if not self._admits(target, route, service, deadline):
+            raise self._given_up(tries, "overload", self.state(target))
+        return target
+
+    def _least_loaded(
+        self, route: Route, service: Service, tries: Tries, deadline: float
+    ) -> Target:
+        now = trio.current_time()
+        best: tuple[float, Target] | None = None
+        for target in self._view.targets_of(service.name):
+            if target.entry.id in tries.refused_by or target.entry.id in tries.targets:
+                continue
+            if not self._view.may_use(target, owner=False):
+                continue
+            state = self.state(target)
+            load = state.load
+            cost = load.expected_wait(now) + load.work_seconds * load.slowdown
+            cost += load.work_seconds * load.occupancy(now) / (4 * load.slots)
+            cost += 0.0 if target.entry.domain == self._cfg.domain else DOMAIN_SECONDS
+            cost += 1.0 if now < state.avoid_until else 0.0
+            cost += 0.5 if self._view.is_cold(target) else 0.0
+            cost += self._rng.uniform(0.0, 0.01)
+            if best is None or cost < best[0]:
+                best = (cost, target)
+        if best is None:
+            raise self._without_target(tries, "no-target", f"{service.name} has no target now")
+        if not self._admits(best[1], route, service, deadline):
+            raise self._given_up(tries, "overload", self.state(best[1]))
+        return best[1]
+
+    def _admits(self, target: Target, route: Route, service: Service, deadline: float) -> bool:
+        now = trio.current_time()
+        state = self.state(target)
+        load = state.load
+        if self._view.is_cold(target) and service.cold_per_second:
+            bounds = self._cfg.bounds
+            limit = service.cold_per_second * bounds.cold_multiplier + bounds.cold_slack
+            if not state.cold.allows(limit, self.hosts, now):
+                return False
+        return may_offer(
+            load.expected_wait(now),
+            load.work_seconds,
+            deadline - now - HOP_SECONDS,
+            load.occupancy(now),
+            load.slots,
+            urgent=route.priority <= self._top_priority(service),
+        )
+
+    def _top_priority(self, service: Service) -> int:
+        """Return the rank of the most urgent routes of a service."""
+        cfg = self._view.cfg
+        if cfg is None:
+            return 0
+        if self._top_version != cfg.version:
+            self._top_version = cfg.version
+            self._top = {}
+            for route in cfg.routes:
+                for share in route.shares:
+                    rank = min(route.priority, self._top.get(share.service, route.priority))
+                    self._top[share.service] = rank
+        return self._top.get(service.name, 0)
+
+    def _without_target(self, tries: Tries, reason: str, detail: str) -> Exception:
+        if tries.sent:
+            return OutcomeOfRequestUnknown(reason, detail, status=502)
+        return NotRun(reason, detail, retry_after=self._rng.uniform(0.2, 0.4))
+
+    def _failed(self, state: TargetState, now: float) -> None:
+        state.failures += 1
+        if state.failures >= AVOID_FAILURES:
+            state.avoid_until = now + AVOID_SECONDS
+
+    def _budget(self, service: Service) -> TokenBudget:
+        found = self._budgets.get(service.name)
+        if found is None:
+            bounds = self._cfg.bounds
+            found = self._budgets[service.name] = TokenBudget(
+                bounds.retry_ratio * BUDGET_PART, bounds.retry_slack * BUDGET_PART / self.hosts
+            )
+        return found
+
+    def _count(self, service: Service, req: CallerRequest) -> None:
+        self._budget(service).earn()
+        if service.keyed and req.key is not None:
+            counts = self.arrivals.setdefault(service.name, {})
+            counts[req.key] = counts.get(req.key, 0) + 1
+
+    def _log(
+        self,
+        req: CallerRequest,
+        route: Route,
+        target: Target,
+        tries: Tries,
+        status: int,
+        error: str = "",
+    ) -> None:
+        decision(
+            "route",
+            request_id=req.attempt_id,
+            route=route.name,
+            key=req.key,
+            target=target.entry.id,
+            arrival=tries.arrivals,
+            status=status,
+            error=error,
+        )
--- /dev/null
+++ b/radishshunt/platform/settings_file.py
@@ -0,0 +1,146 @@
+"""The platform's settings file: lines of the form ``a.b=value``."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Annotated
+
+from pydantic import BaseModel, Field, ValidationError
+
+from radishshunt.errors import SettingsError
+from radishshunt.gateway.settings import Bounds, HostSettings
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+Address = Annotated[str, Field(pattern=r"^[^:]+:\d{1,5}$")]
+# Offset of the metrics port in the range of ports between hosts.
+METRICS_PORT_OFFSET = 1
+
+
+class _Bind(BaseModel):
+    FrontAddr: Address
+    Ready: Address
+
+
+class _Network(BaseModel):
+    Bind: _Bind
+    PortRange: Annotated[str, Field(pattern=r"^\d{1,5},\d{1,5}$")]
+
+
+class _Self(BaseModel):
+    NodeId: Annotated[str, Field(min_length=1)]
+    Ip: Annotated[str, Field(min_length=1)]
+    Zone: Annotated[str, Field(min_length=1)]
+
+
+class _Store(BaseModel):
+    Addr: Address
+
+
+class _Platform(BaseModel):
+    Platform: _Store
+    HeartbeatMs: Annotated[float, Field(gt=0)] = 1000.0
+
+
+class _Bounds(BaseModel):
+    HoldMaxMs: Annotated[float, Field(gt=0)] = Bounds().hold_max * 1000
+    GraceS: Annotated[float, Field(gt=0)] = Bounds().grace
+    DrainMs: Annotated[float, Field(gt=0)] = Bounds().drain * 1000
+    ApplyMs: Annotated[float, Field(gt=0)] = Bounds().apply * 1000
+    EvacuateMs: Annotated[float, Field(gt=0)] = Bounds().evacuate * 1000
+    ContactMs: Annotated[float, Field(gt=0)] = Bounds().contact * 1000
+    RetryRatio: Annotated[float, Field(ge=0)] = Bounds().retry_ratio
+    RetrySlack: Annotated[float, Field(ge=0)] = Bounds().retry_slack
+    RetryWindowS: Annotated[float, Field(gt=0)] = Bounds().retry_window
+    ColdMultiplier: Annotated[float, Field(ge=0)] = Bounds().cold_multiplier
+    ColdSlack: Annotated[float, Field(ge=0)] = Bounds().cold_slack
+
+
+class _Terms(BaseModel):
+    Bounds: _Bounds = _Bounds()
+
+
+class _File(BaseModel):
+    Self: _Self
+    Network: _Network
+    Platform: _Platform
+    Terms: _Terms = _Terms()
+
+
+def load_host_settings(path: Path) -> HostSettings:
+    """Read a host's settings.
+
+    :raises SettingsError: With a line for each problem.
+    """
+    return parse_host_settings(path.read_text("utf-8"), str(path))
+
+
+def parse_host_settings(text: str, source: str) -> HostSettings:
+    """Return the settings in a text; fields that are not known are ignored.
+
+    :param source: Name of the text in messages.
+    :raises SettingsError: With a line for each problem.
+    """
+    doc, lines, problems = _tree(text, source)
+    try:
+        cfg = _File.model_validate(doc)
+    except ValidationError as exc:
+        for error in exc.errors():
+            path = ".".join(str(part) for part in error["loc"])
+            line = lines.get(path)
+            where = f"{source}:{line}" if line else source
+            problems.append(f"{where}: {path}: {error['msg']}")
+    if problems:
+        raise SettingsError(problems)
+    bounds = cfg.Terms.Bounds
+    first_port = int(cfg.Network.PortRange.partition(",")[0])
+    return HostSettings(
+        name=cfg.Self.NodeId,
+        ip=cfg.Self.Ip,
+        domain=cfg.Self.Zone,
+        callers=cfg.Network.Bind.FrontAddr,
+        ready=cfg.Network.Bind.Ready,
+        inner_port=first_port,
+        metrics_port=first_port + METRICS_PORT_OFFSET,
+        store=cfg.Platform.Platform.Addr,
+        heartbeat_seconds=cfg.Platform.HeartbeatMs / 1000,
+        bounds=Bounds(
+            hold_max=bounds.HoldMaxMs / 1000,
+            grace=bounds.GraceS,
+            drain=bounds.DrainMs / 1000,
+            apply=bounds.ApplyMs / 1000,
+            evacuate=bounds.EvacuateMs / 1000,
+            contact=bounds.ContactMs / 1000,
+            retry_ratio=bounds.RetryRatio,
+            retry_slack=bounds.RetrySlack,
+            retry_window=bounds.RetryWindowS,
+            cold_multiplier=bounds.ColdMultiplier,
+            cold_slack=bounds.ColdSlack,
+        ),
+    )
+
+
+def _tree(text: str, source: str) -> tuple[dict, dict[str, int], list[str]]:
+    """Return the nested fields, the line of each and what can't be read."""
+    doc: dict = {}
+    lines: dict[str, int] = {}
+    problems: list[str] = []
+    for number, line in enumerate(text.splitlines(), 1):
+        if not line.strip() or line.startswith("#"):
+            continue
+        path, found, value = line.partition("=")
+        if not found:
+            problems.append(f"{source}:{number}: expected a line of the form a.b=value")
+            continue
+        path = path.strip()
+        lines[path] = number
+        *parents, leaf = path.split(".")
+        table = doc
+        for parent in parents:
+            table = table.setdefault(parent, {})
+            if not isinstance(table, dict):
+                problems.append(f"{source}:{number}: {path}: {parent} has a value of its own")
+                break
+        else:
+            table[leaf] = value.strip()
+    return doc, lines, problems
--- /dev/null
+++ b/radishshunt/platform/target_protocol.py
@@ -0,0 +1,109 @@
+"""The targets' HTTP interface on the users' platform."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from radishshunt.gateway.exchange import Answer, OutgoingRequest
+from radishshunt.gateway.model import LAST_KEY
+from radishshunt.gateway.protocol import LoadReport, TargetProtocol
+from radishshunt.platform.names import (
+    ATTEMPT_ID,
+    DEADLINE_MS,
+    EXPECTED_TARGET,
+    GRANT_PATH,
+    HANDOVER,
+    KEY,
+    LOAD,
+    NOT_RUN,
+    RELEASE_PATH,
+    SIGNATURE,
+)
+
+if TYPE_CHECKING:
+    from radishshunt.gateway.model import KeyRange
+    from radishshunt.gateway.protocol import CallerRequest
+
+_ATTEMPT_ID = ATTEMPT_ID.encode()
+_DEADLINE_MS = DEADLINE_MS.encode()
+_KEY = KEY.encode()
+_EXPECTED_TARGET = EXPECTED_TARGET.encode()
+_LOAD = LOAD.encode()
+_NOT_RUN = NOT_RUN.encode()
+_HANDOVER = HANDOVER.encode()
+_SET_BY_HOST = frozenset({_DEADLINE_MS, _EXPECTED_TARGET, SIGNATURE.encode()})
+_METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
+MISDIRECTED = 421
+
+
+class HttpTargetProtocol(TargetProtocol):
+    """Headers and orders as the users' targets take them."""
+
+    def caller_fields(
+        self, headers: list[tuple[bytes, bytes]]
+    ) -> tuple[str, float | None, int | None]:
+        found = dict(headers)
+        deadline = found.get(_DEADLINE_MS, b"")
+        key = found.get(_KEY, b"")
+        seconds = float(deadline) / 1000 if _is_number(deadline) else None
+        number = int(key) if key.isdigit() and int(key) <= LAST_KEY else None
+        return found.get(_ATTEMPT_ID, b"").decode("latin-1"), seconds, number
+
+    def outgoing(self, req: CallerRequest, target_id: str, seconds: float) -> OutgoingRequest:
+        headers = [pair for pair in req.headers if pair[0] not in _SET_BY_HOST]
+        headers.append((_DEADLINE_MS, str(max(1, int(seconds * 1000))).encode()))
+        headers.append((_EXPECTED_TARGET, target_id.encode()))
+        if req.body or req.method in _METHODS_WITH_BODY:
+            headers.append((b"content-length", str(len(req.body)).encode()))
+        attempt_id = req.attempt_id.encode("latin-1")
+        echo = (_ATTEMPT_ID, attempt_id) if attempt_id else None
+        return OutgoingRequest(req.method.encode(), req.target, headers, req.body, echo)
+
+    def load(self, answer: Answer) -> LoadReport | None:
+        value = answer.header(_LOAD)
+        if value is None:
+            return None
+        try:
+            running, waiting, slots, *rest = (int(part) for part in value.split(b","))
+        except ValueError:
+            return None
+        return LoadReport(running, waiting, max(1, slots), rest[0] / 100 if rest else 1.0)
+
+    def not_run(self, answer: Answer) -> bool:
+        return answer.header(_NOT_RUN) is not None or answer.status == MISDIRECTED
+
+    def is_wrong_target(self, answer: Answer) -> bool:
+        return answer.status == MISDIRECTED
+
+    def grant(self, host: str, keys: KeyRange, seconds: float, handover: str) -> OutgoingRequest:
+        doc = {
+            "From": keys.first,
+            "Target": keys.last,
+            "fence": keys.fence,
+            "HoldMs": int(seconds * 1000),
+        }
+        if handover:
+            doc["Handover"] = handover
+        return _order(host, GRANT_PATH, doc)
+
+    def release(self, host: str, keys: KeyRange) -> OutgoingRequest:
+        doc = {"From": keys.first, "Target": keys.last, "fence": keys.fence}
+        return _order(host, RELEASE_PATH, doc)
+
+    def handover(self, answer: Answer) -> str:
+        return (answer.header(_HANDOVER) or b"").decode("latin-1")
+
+
+def _order(host: str, path: str, doc: dict) -> OutgoingRequest:
+    body = json.dumps(doc).encode()
+    headers = [
+        (b"host", host.encode()),
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    return OutgoingRequest(b"POST", path.encode(), headers, body)
+
+
+def _is_number(value: bytes) -> bool:
+    return value.replace(b".", b"", 1).isdigit()
--- a/radishshunt/target_transport.py
+++ b/radishshunt/target_transport.py
@@ -40,7 +40,7 @@
         self._idle_seconds = idle_seconds
         self._local_address = local_address
         self._room = trio.Semaphore(connections, max_value=connections)
-        self._idle: list[_Connection] = []
+        self._idle: list[TargetConnection] = []
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
         timeouts = request.extensions.get("timeout", {})
@@ -90,7 +90,7 @@
         while self._idle:
             self._idle.pop().close()
 
-    def give_back(self, conn: _Connection, *, reusable: bool) -> None:
+    def give_back(self, conn: TargetConnection, *, reusable: bool) -> None:
         """Take a connection back after its response."""
         if reusable:
             conn.idle_since = trio.current_time()
@@ -99,7 +99,7 @@
             conn.close()
         self._room.release()
 
-    def _take(self) -> _Connection | None:
+    def _take(self) -> TargetConnection | None:
         while self._idle:
             conn = self._idle.pop()
             # An idle connection with something to read was closed by the target.
@@ -108,20 +108,29 @@
             conn.close()
         return None
 
-    async def _connect(self, timeout: float | None) -> _Connection:
-        with trio.CancelScope(deadline=_deadline(timeout)) as scope:
-            try:
-                stream = await trio.open_tcp_stream(
-                    self._ip.strip("[]"), self._port, local_address=self._local_address
-                )
-            except OSError as exc:
-                raise httpx.ConnectError(str(exc)) from exc
-        if scope.cancelled_caught:
-            raise httpx.ConnectTimeout(f"not within {timeout} s")
-        return _Connection(self, stream)
+    async def _connect(self, timeout: float | None) -> TargetConnection:
+        stream = await open_stream(self._ip, self._port, timeout, self._local_address)
+        return TargetConnection(self, stream)
+
+
+async def open_stream(
+    ip: str, port: int, timeout: float | None, local_address: str | None = None
+) -> trio.SocketStream:
+    """Connect to an address.
+
+    :param timeout: Seconds, or ``None`` for no limit.
+    :raises httpx.ConnectError: If the connection is refused or can't be made.
+    :raises httpx.ConnectTimeout: If it takes too long.
+    """
+    with trio.CancelScope(deadline=_deadline(timeout)):
+        try:
+            return await trio.open_tcp_stream(ip.strip("[]"), port, local_address=local_address)
+        except OSError as exc:
+            raise httpx.ConnectError(str(exc)) from exc
+    raise httpx.ConnectTimeout(f"not within {timeout} s")
 
 
-class _Connection:
+class TargetConnection:
     """One connection; carries one request at a time."""
 
     def __init__(self, pool: TargetTransport, stream: trio.SocketStream) -> None:
@@ -203,8 +212,8 @@
 class _Body(httpx.AsyncByteStream):
     """Body of a response; closing it before its end closes the connection."""
 
-    def __init__(self, conn: _Connection, timeout: float | None) -> None:
-        self._conn: _Connection | None = conn
+    def __init__(self, conn: TargetConnection, timeout: float | None) -> None:
+        self._conn: TargetConnection | None = conn
         self._timeout = timeout
 
     async def __aiter__(self) -> AsyncIterator[bytes]:
