--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -9,18 +9,18 @@
 import trio
 
 from radishshunt.clock import BootClock
-from radishshunt.gateway.coordinator import Coordinator, HeatSource
+from radishshunt.gateway.coordinator import Coordinator
 from radishshunt.gateway.follower import Follower
 from radishshunt.gateway.front import Front
+from radishshunt.gateway.heat import MeasuredHeat
 from radishshunt.gateway.leadership import Leadership
+from radishshunt.gateway.links import NEWS_SECONDS, LinkClient, LinkServer
 from radishshunt.gateway.rows import Topic
 from radishshunt.gateway.sender import Sender
 from radishshunt.gateway.view import View
 from radishshunt.http_server import HttpServer
 from radishshunt.logs import decision
 from radishshunt.memory import BodyMemory
-from radishshunt.placement.key_ranges import Heat
-from radishshunt.policy.direct.target_load import FIRST_WORK_SECONDS
 from radishshunt.supervisor import Supervisor
 
 if TYPE_CHECKING:
@@ -38,16 +38,6 @@
 STOP_MARGIN_SECONDS = 0.6
 
 
-class OwnHeat(HeatSource):
-    """Uniform load, before hosts report theirs."""
-
-    def heat(self, service: str) -> Heat:
-        return Heat({})
-
-    def work_seconds(self, target: str) -> float:
-        return FIRST_WORK_SECONDS
-
-
 class GatewayHost:
     """One host, built from its settings and the platform's services."""
 
@@ -67,8 +57,13 @@
         self.sender = Sender(cfg, self.view, protocol)
         self.front = Front(self.view, self.sender, protocol, BodyMemory(BODY_BYTES))
         self.leadership = Leadership(cfg, self.view, store)
+        self.heat = MeasuredHeat(self.view.clock)
         self.coordinator = Coordinator(
-            cfg, self.view, self.leadership, protocol, OwnHeat(), self.view.clock
+            cfg, self.view, self.leadership, protocol, self.heat, self.view.clock
+        )
+        self._link = LinkClient(cfg, self.view, self.sender.report, self._take_suspects)
+        self._links = LinkServer(
+            cfg, self.view, lambda: self.leadership.valid, self.heat.take, self._suspects
         )
         self._callers = HttpServer(self.front.app, cfg.callers, name="callers")
         self._checks = HttpServer(self._check_app, cfg.ready, name="ready")
@@ -81,6 +76,9 @@
         parts["callers"] = self._callers.run
         parts["ready"] = self._checks.run
         parts["coordinator"] = self.coordinator.run
+        parts["link"] = self._link.run
+        parts["links"] = self._links.run
+        parts["report"] = self._report_own
         await self._supervisor.run(parts)
 
     async def stop(self) -> None:
@@ -98,7 +96,23 @@
         return Follower(topic, self.view, self._store, self._needs_store)
 
     def _needs_store(self) -> bool:
-        return True
+        return self.leadership.valid or not self._link.fresh
+
+    async def _report_own(self) -> None:
+        """Take this host's own load while it leads, and the number of hosts in any case."""
+        while True:
+            await trio.sleep(NEWS_SECONDS)
+            if self.leadership.valid:
+                self.heat.take(self.sender.report())
+                self.sender.hosts = self._links.hosts
+            elif self._link.hosts:
+                self.sender.hosts = self._link.hosts
+
+    def _suspects(self) -> dict[int, int]:
+        return {}
+
+    def _take_suspects(self, suspects: dict[int, int]) -> None:
+        pass
 
     async def _check_app(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer the platform's readiness check."""
--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -42,6 +42,9 @@
 PLAN_SECONDS = 0.2
 # At the first start, targets register within this time of each other.
 FIRST_PLAN_SECONDS = 1.5
+# Keys are first divided when no target has registered for this many heartbeats.
+QUIET_HEARTBEATS = 1.5
+LONGEST_FIRST_PLAN_SECONDS = 5.0
 # The store counts as silent after this time, and grants are made to last.
 STORE_SILENT_SECONDS = 1.0
 # Renewals that fail for this long make a target's keys go to others.
@@ -80,6 +83,8 @@
     moves: list[ActiveMove] = field(default_factory=list)
     ready: list[ActiveMove] = field(default_factory=list)
     reserved_fence: int = 0
+    # A key map is built from the last one written, so that writes follow one another.
+    writing: trio.Lock = field(default_factory=trio.Lock)
 
     def draw_fence(self) -> int:
         """Return a fencing token that was never used."""
@@ -123,6 +128,7 @@
         self._orders: dict[tuple[str, int], TargetOrders] = {}
         self._nursery: trio.Nursery | None = None
         self._started_at = 0.0
+        self._first_seen: dict[str, tuple[int, float]] = {}
 
     @property
     def moving(self) -> dict[str, list[tuple[int, int]]]:
@@ -226,9 +232,16 @@
 
     def _plan_first(self, service: Service) -> None:
         """Divide the keys of a service for the first time."""
-        if self._clock.now() < self._started_at + FIRST_PLAN_SECONDS:
-            return
+        now = self._clock.now()
         holders = self._holders(service)
+        if len(holders) != self._first_seen.get(service.name, (0, 0.0))[0]:
+            self._first_seen[service.name] = (len(holders), now)
+        quiet = now - self._first_seen.get(service.name, (0, now))[1]
+        waited = now - self._started_at
+        if waited < LONGEST_FIRST_PLAN_SECONDS and (
+            waited < FIRST_PLAN_SECONDS or quiet < QUIET_HEARTBEATS * self._cfg.heartbeat_seconds
+        ):
+            return
         moves = plan_first(holders.values(), self._heat.heat(service.name))
         if not moves:
             return
@@ -343,21 +356,21 @@
     async def _free_range(self, keys: ServiceKeys, owner: KeyRange) -> str:
         orders = self._orders.get((owner.target, owner.life))
         if orders is None:
-            await self._wait_until(self._forgotten_until(owner), owner)
+            await self._wait_until(self._unrecorded_until(), owner)
             return ""
         piece = orders.cut(owner.first, owner.last)
         if piece is None:
+            await self._wait_until(self._unrecorded_until(), owner)
             return ""
         if self._has_ended(owner):
             return ""
-        handover = await orders.release(piece, keys.draw_fence)
-        if handover is not None:
-            return handover
-        decision("release-failed", target=owner.target, first=owner.first, last=owner.last)
-        await self._wait_until(piece.until, owner)
-        return ""
-
-    def _forgotten_until(self, owner: KeyRange) -> float:
+        release = await orders.release(piece, keys.draw_fence)
+        if not release.done:
+            decision("release-failed", target=owner.target, first=owner.first, last=owner.last)
+            await self._wait_until(release.until, owner)
+        return release.handover
+
+    def _unrecorded_until(self) -> float:
         """Return until when a target may hold keys of which this term has no record."""
         return self._started_at + self._cfg.bounds.hold_max * CLOCK_FACTOR + 0.5
 
@@ -387,32 +400,36 @@
     async def _commit(self, service: str) -> None:
         """Write the new owners of all moves that are ready, then grant the keys."""
         keys = self._services[service]
-        await trio.sleep(0.005)
-        ready, keys.ready = keys.ready, []
-        if not ready:
-            return
-        ranges = list(keys.key_map.ranges)
-        granted: list[tuple[KeyRange, ActiveMove]] = []
-        fence = max(keys.key_map.next_fence, keys.reserved_fence)
+        async with keys.writing:
+            ready, keys.ready = keys.ready, []
+            if not ready:
+                return
+            granted = self._granted(keys, ready)
+            ranges = list(keys.key_map.ranges)
+            for item, move in granted:
+                ranges = [
+                    old
+                    for old in split_ranges(ranges, move.first, move.last)
+                    if not (move.first <= old.first and old.last <= move.last)
+                ]
+                ranges.append(item)
+            ranges.sort(key=lambda r: r.first)
+            await self._write(service, keys, KeyMap(tuple(ranges), keys.reserved_fence))
+        for item, move in granted:
+            if self._nursery is not None:
+                self._nursery.start_soon(self._grant, keys, item, move)
+
+    def _granted(
+        self, keys: ServiceKeys, ready: list[ActiveMove]
+    ) -> list[tuple[KeyRange, ActiveMove]]:
+        """Return the ranges that moves lead to, with new fencing tokens."""
+        granted = []
         for move in ready:
             target = self._view.targets.get(move.to)
             life = target.entry.life if target else 0
-            item = KeyRange(move.first, move.last, move.to, life, fence)
-            fence += 1
-            ranges = [
-                old
-                for old in split_ranges(ranges, move.first, move.last)
-                if not (move.first <= old.first and old.last <= move.last)
-            ]
-            ranges.append(item)
+            item = KeyRange(move.first, move.last, move.to, life, keys.draw_fence())
             granted.append((item, move))
-        ranges.sort(key=lambda r: r.first)
-        keys.reserved_fence = fence
-        new = KeyMap(tuple(ranges), fence)
-        await self._write(service, keys, new)
-        for item, move in granted:
-            if self._nursery is not None:
-                self._nursery.start_soon(self._grant, keys, item, move)
+        return granted
 
     async def _write(self, service: str, keys: ServiceKeys, new: KeyMap) -> None:
         """Write a key map; only the leader does, so that a conflict is an own earlier write."""
--- /dev/null
+++ b/radishshunt/gateway/gateway.capnp
@@ -0,0 +1,70 @@
+@0xb1f0a4c97e3d2258;
+
+# Messages between the leader and the other hosts of the gateway. A frame on the wire is a 4-byte
+# big-endian length and one Frame.
+
+struct Row {
+  key @0 :Text;
+  version @1 :UInt64;
+  value @2 :Data;
+  gone @3 :Bool;
+}
+
+struct Change {
+  topic @0 :Text;
+  version @1 :UInt64;
+  whole @2 :Bool;
+  rows @3 :List(Row);
+}
+
+struct Keys {
+  service @0 :Text;
+  first @1 :UInt16;
+  last @2 :UInt16;
+}
+
+# From the leader.
+struct News {
+  leading @0 :Bool;
+  storeAge @1 :Float32;
+  hosts @2 :UInt16;
+  changes @3 :List(Change);
+  moving @4 :List(Keys);
+  suspects @5 :List(Suspect);
+}
+
+struct KeyCount {
+  key @0 :UInt16;
+  count @1 :UInt32;
+}
+
+struct ServiceHeat {
+  service @0 :Text;
+  counts @1 :List(KeyCount);
+}
+
+struct Work {
+  target @0 :Text;
+  seconds @1 :Float32;
+  samples @2 :UInt32;
+}
+
+struct Suspect {
+  fingerprint @0 :UInt64;
+  losses @1 :UInt16;
+}
+
+# To the leader.
+struct Report {
+  host @0 :Text;
+  heat @1 :List(ServiceHeat);
+  work @2 :List(Work);
+  suspects @3 :List(Suspect);
+}
+
+struct Frame {
+  union {
+    news @0 :News;
+    report @1 :Report;
+  }
+}
--- /dev/null
+++ b/radishshunt/gateway/links.py
@@ -0,0 +1,267 @@
+"""Connections between the leader and the other hosts.
+
+The leader alone follows the store and passes the changes on, since calls to the store are priced.
+A host that does not hear a leader in touch with the store follows it itself.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import httpx
+import trio
+
+from radishshunt.errors import ProtocolError
+from radishshunt.gateway.messages import LENGTH_BYTES, MAX_FRAME_BYTES, News, Report, decode, encode
+from radishshunt.gateway.rows import Change, Topic
+from radishshunt.logs import decision
+from radishshunt.target_transport import open_stream
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from radishshunt.gateway.settings import HostSettings
+    from radishshunt.gateway.view import View
+
+logger = logging.getLogger(__name__)
+
+# Time between two messages of either side.
+NEWS_SECONDS = 0.2
+# Changes that come close together go out in one message.
+COALESCE_SECONDS = 0.005
+# A leader that was not heard for this long is no source of news.
+FRESH_SECONDS = 0.75
+# The leader hears the store at least this often while it answers.
+STORE_FRESH_SECONDS = 1.6
+# A link without a message for this long is closed.
+SILENT_SECONDS = 1.5
+CONNECT_SECONDS = 0.5
+RECONNECT_SECONDS = 0.25
+READ_BYTES = 64 * 1024
+# Messages that wait for a host that does not read; it then has to connect anew.
+QUEUED_MESSAGES = 64
+
+
+class FrameReader:
+    """Reads frames from a stream."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._buffer = bytearray()
+
+    async def read(self) -> News | Report | None:
+        """Return the next message, or ``None`` at the end.
+
+        :raises ProtocolError: If a frame is malformed.
+        """
+        while True:
+            if len(self._buffer) >= LENGTH_BYTES:
+                size = int.from_bytes(self._buffer[:LENGTH_BYTES], "big")
+                if size > MAX_FRAME_BYTES:
+                    raise ProtocolError(f"frame of {size} bytes")
+                end = LENGTH_BYTES + size
+                if len(self._buffer) >= end:
+                    data = bytes(self._buffer[LENGTH_BYTES:end])
+                    del self._buffer[:end]
+                    return decode(data)
+            data = await self._stream.receive_some(READ_BYTES)
+            if not data:
+                return None
+            self._buffer += data
+
+
+class LinkServer:
+    """Accepts the other hosts while this one leads.
+
+    :param leading: Whether this host leads.
+    :param moving: Ranges of keys that are being moved.
+    :param take_report: Takes what a host reports.
+    """
+
+    def __init__(
+        self,
+        cfg: HostSettings,
+        view: View,
+        leading: Callable[[], bool],
+        take_report: Callable[[Report], None],
+        suspects: Callable[[], dict[int, int]],
+    ) -> None:
+        self._cfg = cfg
+        self._view = view
+        self._leading = leading
+        self._take_report = take_report
+        self._suspects = suspects
+        self._links: set[_Link] = set()
+        view.listeners.append(self._broadcast)
+
+    @property
+    def hosts(self) -> int:
+        """Number of hosts with a link, this one included."""
+        return len(self._links) + 1
+
+    async def run(self) -> None:
+        """Accept links until cancelled."""
+        await trio.serve_tcp(self._serve, self._cfg.inner_port, host=self._cfg.ip)
+
+    def news(self, changes: tuple[Change, ...] = ()) -> News:
+        """Return a message with changes and the state of this host."""
+        return News(
+            leading=self._leading(),
+            store_age=max(0.0, self._view.store_age),
+            hosts=self.hosts,
+            changes=changes,
+            moving=self._view.moving,
+            suspects=self._suspects(),
+        )
+
+    def _broadcast(self, change: Change | None) -> None:
+        for link in self._links:
+            link.put(change)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        link = _Link(self, stream)
+        self._links.add(link)
+        whole = [
+            Change(topic, tuple(self._view.rows[topic].values()), version, whole=True)
+            for topic, version in self._view.versions.items()
+            if version
+        ]
+        for change in whole:
+            link.put(change)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(link.send, nursery.cancel_scope)
+                await self._receive(stream)
+                nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError, ProtocolError) as group:
+            logger.info("link of a host ended: %r", group.exceptions[0])
+        finally:
+            self._links.discard(link)
+            stream.socket.close()
+
+    async def _receive(self, stream: trio.SocketStream) -> None:
+        reader = FrameReader(stream)
+        while True:
+            with trio.move_on_after(SILENT_SECONDS) as scope:
+                msg = await reader.read()
+            if scope.cancelled_caught or msg is None or not self._leading():
+                return
+            if isinstance(msg, Report):
+                self._take_report(msg)
+
+
+class _Link:
+    """Messages on their way to one host."""
+
+    def __init__(self, server: LinkServer, stream: trio.SocketStream) -> None:
+        self._server = server
+        self._stream = stream
+        self._queue: list[Change | None] = []
+        self._wake = trio.Event()
+
+    def put(self, change: Change | None) -> None:
+        """Add a change to the next message; ``None`` only wakes the sender."""
+        if change is not None:
+            self._queue.append(change)
+        self._wake.set()
+
+    async def send(self, scope: trio.CancelScope) -> None:
+        """Send changes as they come, and a message at least every :data:`NEWS_SECONDS`."""
+        while len(self._queue) <= QUEUED_MESSAGES:
+            with trio.move_on_after(NEWS_SECONDS):
+                await self._wake.wait()
+                await trio.sleep(COALESCE_SECONDS)
+            self._wake = trio.Event()
+            changes, self._queue = tuple(self._queue), []
+            with trio.move_on_after(SILENT_SECONDS) as sending:
+                await self._stream.send_all(encode(self._server.news(changes)))
+            if sending.cancelled_caught:
+                break
+        scope.cancel()
+
+
+class LinkClient:
+    """This host's link to the leader.
+
+    :param report: Returns what to report since the last time.
+    :ivar hosts: Hosts that the leader hears.
+    """
+
+    def __init__(
+        self,
+        cfg: HostSettings,
+        view: View,
+        report: Callable[[], Report],
+        take_suspects: Callable[[dict[int, int]], None],
+    ) -> None:
+        self.hosts = 0
+        self._cfg = cfg
+        self._view = view
+        self._report = report
+        self._take_suspects = take_suspects
+        self._heard_at = float("-inf")
+        self._was_fresh = False
+
+    @property
+    def fresh(self) -> bool:
+        """Whether the leader passes the store's changes on."""
+        fresh = self._view.clock.now() - self._heard_at < FRESH_SECONDS
+        if fresh != self._was_fresh:
+            self._was_fresh = fresh
+            decision("leader-heard" if fresh else "leader-silent", leader=self._view.leader.host)
+        return fresh
+
+    async def run(self) -> None:
+        """Keep a link to whichever host leads."""
+        own = f"{self._cfg.ip}:{self._cfg.inner_port}"
+        while True:
+            leader = self._view.leader
+            if leader.host and leader.address != own:
+                try:
+                    await self._connect(leader.address)
+                except* (
+                    httpx.TransportError,
+                    trio.BrokenResourceError,
+                    trio.ClosedResourceError,
+                    ProtocolError,
+                ) as group:
+                    logger.info("link to %s ended: %r", leader.host, group.exceptions[0])
+            await trio.sleep(RECONNECT_SECONDS)
+
+    async def _connect(self, address: str) -> None:
+        ip, _, port = address.rpartition(":")
+        stream = await open_stream(ip, int(port), CONNECT_SECONDS)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_reports, stream)
+                await self._receive(stream, address)
+                nursery.cancel_scope.cancel()
+        finally:
+            stream.socket.close()
+
+    async def _send_reports(self, stream: trio.SocketStream) -> None:
+        while True:
+            await stream.send_all(encode(self._report()))
+            await trio.sleep(NEWS_SECONDS)
+
+    async def _receive(self, stream: trio.SocketStream, address: str) -> None:
+        reader = FrameReader(stream)
+        while self._view.leader.address == address:
+            with trio.move_on_after(SILENT_SECONDS) as scope:
+                msg = await reader.read()
+            if scope.cancelled_caught or not isinstance(msg, News) or not msg.leading:
+                return
+            self._take(msg)
+
+    def _take(self, news: News) -> None:
+        for change in news.changes:
+            self._view.apply(change)
+        self._view.set_moving(news.moving)
+        self._take_suspects(news.suspects)
+        self.hosts = news.hosts
+        if news.store_age < STORE_FRESH_SECONDS and all(
+            self._view.versions[topic] for topic in Topic
+        ):
+            self._heard_at = self._view.clock.now()
+            self._view.store_answered()
--- /dev/null
+++ b/radishshunt/gateway/messages.py
@@ -0,0 +1,162 @@
+"""Messages between the leader and the other hosts, and their encoding."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from importlib.resources import as_file, files
+
+import capnp
+
+from radishshunt.errors import ProtocolError
+from radishshunt.gateway.rows import Change, Row, Topic
+
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+LENGTH_BYTES = 4
+
+capnp.remove_import_hook()
+with as_file(files("radishshunt.gateway") / "gateway.capnp") as _path:
+    _schema = capnp.load(str(_path))
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """What the leader tells the other hosts.
+
+    :param leading: Whether the sender leads.
+    :param store_age: Seconds since the store answered the sender.
+    :param hosts: Hosts that the leader hears, itself included.
+    :param moving: Ranges of keys that are being moved, by service.
+    :param suspects: Targets lost by the fingerprint of the request that they ran.
+    """
+
+    leading: bool
+    store_age: float
+    hosts: int
+    changes: tuple[Change, ...] = ()
+    moving: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
+    suspects: dict[int, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """Measured work time of a target.
+
+    :param seconds: Mean time for which a request holds a slot.
+    :param samples: Answers measured since the last report.
+    """
+
+    target: str
+    seconds: float
+    samples: int
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What a host tells the leader.
+
+    :param heat: Requests since the last report, by service and key.
+    """
+
+    host: str
+    heat: dict[str, dict[int, int]]
+    work: tuple[Work, ...] = ()
+    suspects: dict[int, int] = field(default_factory=dict)
+
+
+def encode(msg: News | Report) -> bytes:
+    """Return a message as a frame, its length included."""
+    if isinstance(msg, News):
+        news = {
+            "leading": msg.leading,
+            "storeAge": msg.store_age,
+            "hosts": msg.hosts,
+            "changes": [_change(change) for change in msg.changes],
+            "moving": [
+                {"service": service, "first": first, "last": last}
+                for service, ranges in msg.moving.items()
+                for first, last in ranges
+            ],
+            "suspects": _suspects(msg.suspects),
+        }
+        frame = _schema.Frame.new_message(news=news)
+    else:
+        report = {
+            "host": msg.host,
+            "heat": [
+                {
+                    "service": service,
+                    "counts": [{"key": key, "count": count} for key, count in counts.items()],
+                }
+                for service, counts in msg.heat.items()
+            ],
+            "work": [
+                {"target": item.target, "seconds": item.seconds, "samples": item.samples}
+                for item in msg.work
+            ],
+            "suspects": _suspects(msg.suspects),
+        }
+        frame = _schema.Frame.new_message(report=report)
+    data = frame.to_bytes()
+    return len(data).to_bytes(LENGTH_BYTES, "big") + data
+
+
+def decode(data: bytes) -> News | Report:
+    """Return the message in a frame without its length.
+
+    :raises ProtocolError: If it is malformed.
+    """
+    try:
+        with _schema.Frame.from_bytes(data) as frame:
+            if frame.which() == "news":
+                return _news(frame.news)
+            return _report(frame.report)
+    except (capnp.KjException, ValueError) as exc:
+        raise ProtocolError(f"frame between hosts: {exc}") from exc
+
+
+def _change(change: Change) -> dict:
+    return {
+        "topic": change.topic.value,
+        "version": change.version,
+        "whole": change.whole,
+        "rows": [
+            {
+                "key": row.key,
+                "version": row.version,
+                "value": row.value or b"",
+                "gone": row.value is None,
+            }
+            for row in change.rows
+        ],
+    }
+
+
+def _suspects(suspects: dict[int, int]) -> list[dict]:
+    return [{"fingerprint": f, "losses": n} for f, n in suspects.items()]
+
+
+def _news(news: capnp.lib.capnp._DynamicStructReader) -> News:
+    moving: dict[str, list[tuple[int, int]]] = {}
+    for item in news.moving:
+        moving.setdefault(item.service, []).append((item.first, item.last))
+    changes = tuple(
+        Change(
+            Topic(change.topic),
+            tuple(
+                Row(row.key, row.version, None if row.gone else bytes(row.value))
+                for row in change.rows
+            ),
+            change.version,
+            change.whole,
+        )
+        for change in news.changes
+    )
+    suspects = {item.fingerprint: item.losses for item in news.suspects}
+    return News(news.leading, news.storeAge, news.hosts, changes, moving, suspects)
+
+
+def _report(report: capnp.lib.capnp._DynamicStructReader) -> Report:
+    heat = {item.service: {entry.key: entry.count for entry in item.counts} for item in report.heat}
+    work = tuple(Work(item.target, item.seconds, item.samples) for item in report.work)
+    suspects = {item.fingerprint: item.losses for item in report.suspects}
+    return Report(report.host, heat, work, suspects)
--- a/radishshunt/gateway/orders.py
+++ b/radishshunt/gateway/orders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import trio
@@ -39,16 +39,40 @@
 
 
 @dataclass(slots=True)
+class HoldTimes:
+    """What is known of the grants with one fencing token.
+
+    :param until: Moment until which the target may hold keys of them.
+    :param late_until: Moment until which an order without an answer may still take effect.
+    """
+
+    until: float = float("-inf")
+    late_until: float = float("-inf")
+
+
+@dataclass(frozen=True, slots=True, eq=False)
 class Held:
     """A range that a target was granted in this term or before.
 
-    :param until: Moment until which the target may hold it.
-    :param late_until: Moment until which an order without an answer may still take effect.
+    :param times: Shared by the parts of one grant, since an order for the whole of it may still
+        be on its way.
     """
 
     keys: KeyRange
+    times: HoldTimes
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """How a release ended.
+
+    :param done: Whether the target no longer holds the keys.
+    :param until: Moment until which it may hold them otherwise.
+    """
+
+    done: bool
     until: float
-    late_until: float
+    handover: str = ""
 
 
 class FenceTooLow(Exception):
@@ -80,7 +104,7 @@
 
     def adopt(self, keys: KeyRange, until: float) -> None:
         """Take a range that an earlier leader may have granted until a moment."""
-        self.held[keys.first, keys.last] = Held(keys, until, until)
+        self.held[keys.first, keys.last] = Held(keys, HoldTimes(until, until))
 
     def close(self) -> None:
         """Close the connections."""
@@ -92,17 +116,19 @@
         :raises FenceTooLow: If a range needs a higher fencing token.
         """
         for held in list(self.held.values()):
-            if self.held.get((held.keys.first, held.keys.last)) is held:
-                await self._grant(held, seconds, "")
+            async with self._lock:
+                if self.held.get((held.keys.first, held.keys.last)) is held:
+                    await self._grant(held, seconds, "")
 
     async def grant(self, keys: KeyRange, seconds: float, handover: str) -> bool:
         """Grant a range for the first time and keep it for renewals.
 
         :return: Whether the target has answered that it holds the keys.
         """
-        held = Held(keys, float("-inf"), float("-inf"))
-        self.held[keys.first, keys.last] = held
-        return await self._grant(held, seconds, handover)
+        held = Held(keys, HoldTimes())
+        async with self._lock:
+            self.held[keys.first, keys.last] = held
+            return await self._grant(held, seconds, handover)
 
     def cut(self, first: int, last: int) -> Held | None:
         """Take a piece out of the renewals; the rest of its range stays."""
@@ -112,54 +138,51 @@
                 del self.held[keys.first, keys.last]
                 for start, end in ((keys.first, first - 1), (last + 1, keys.last)):
                     if start <= end:
-                        self.held[start, end] = Held(
-                            _part(keys, start, end), held.until, held.late_until
-                        )
-                return Held(_part(keys, first, last), held.until, held.late_until)
+                        part = replace(keys, first=start, last=end)
+                        self.held[start, end] = Held(part, held.times)
+                return Held(replace(keys, first=first, last=last), held.times)
         return None
 
-    async def release(self, piece: Held, next_fence: Callable[[], int]) -> str | None:
+    async def release(self, piece: Held, next_fence: Callable[[], int]) -> Release:
         """Take back a piece that was cut out.
 
         :param next_fence: Draws a fencing token that was never used.
-        :return: The handover, or ``None`` if the target may hold the keys until ``piece.until``.
         """
+        # A renewal of the whole range that is on its way would give the piece back.
+        async with self._lock:
+            times = replace(piece.times)
+        keys = piece.keys
         try:
-            if self._clock.now() < piece.late_until:
+            if self._clock.now() < times.late_until:
                 # A grant without an answer may take effect after the release; a higher token
                 # makes the target refuse it.
-                keys = piece.keys
-                sealed = Held(
-                    type(keys)(keys.first, keys.last, keys.target, keys.life, next_fence()),
-                    piece.until,
-                    float("-inf"),
-                )
+                keys = replace(keys, fence=next_fence())
+                sealed = Held(keys, HoldTimes())
                 done = await self._grant(sealed, HOLD_SECONDS, "")
-                piece.until = max(piece.until, sealed.until)
+                times.until = max(times.until, sealed.times.until)
                 if not done:
-                    return None
-                piece.keys = sealed.keys
-            order = self._protocol.release(self.entry.address, piece.keys)
+                    return Release(False, times.until)
+            order = self._protocol.release(self.entry.address, keys)
             answer = await self._send(order, RELEASE_SECONDS)
         except FenceTooLow:
-            return None
+            return Release(False, times.until)
         if answer is None or answer.status != OK:
-            return None
-        return self._protocol.handover(answer)
+            return Release(False, times.until)
+        return Release(True, times.until, self._protocol.handover(answer))
 
     async def _grant(self, held: Held, seconds: float, handover: str) -> bool:
         if not self._may_order():
             return False
+        times = held.times
         order = self._protocol.grant(self.entry.address, held.keys, seconds, handover)
         lasts = seconds * CLOCK_FACTOR + TRAVEL_SECONDS
-        held.until = max(held.until, self._clock.now() + ORDER_SECONDS + lasts)
+        times.until = max(times.until, self._clock.now() + ORDER_SECONDS + lasts)
         answer = await self._send(order, ORDER_SECONDS)
         ended_at = self._clock.now()
         if answer is None:
-            held.late_until = ended_at + lasts
-            held.until = max(held.until, ended_at + lasts)
+            times.late_until = ended_at + lasts
+            times.until = max(times.until, ended_at + lasts)
             return False
-        held.until = max(ended_at + lasts, held.late_until)
         if answer.status == CONFLICT:
             raise FenceTooLow
         return answer.status == OK
@@ -178,7 +201,3 @@
             self.failing_since = self._clock.now()
         decision("order-failed", target=self.entry.id, order=order.target.decode(), error=error)
         return None
-
-
-def _part(keys: KeyRange, first: int, last: int) -> KeyRange:
-    return type(keys)(first, last, keys.target, keys.life, keys.fence)
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -10,6 +10,7 @@
 
 from radishshunt.errors import NotRun, OutcomeOfRequestUnknown
 from radishshunt.gateway.exchange import ExchangeError
+from radishshunt.gateway.messages import Report, Work
 from radishshunt.gateway.model import RequestKind
 from radishshunt.gateway.target_pool import TargetPool
 from radishshunt.logs import decision
@@ -100,6 +101,17 @@
             self._states[key] = found
         return found
 
+    def report(self) -> Report:
+        """Return what the leader has to know since the last report."""
+        heat, self.arrivals = self.arrivals, {}
+        work = []
+        for key, state in self._states.items():
+            if state.load.samples:
+                target = key.partition("/")[0]
+                work.append(Work(target, state.load.work_seconds, state.load.samples))
+                state.load.samples = 0
+        return Report(self._cfg.name, heat, tuple(work))
+
     async def send(self, req: CallerRequest, route: Route, service: Service) -> Answer:
         """Return the answer of a target.
 
--- a/radishshunt/gateway/view.py
+++ b/radishshunt/gateway/view.py
@@ -11,13 +11,15 @@
 
 from radishshunt.errors import ProtocolError
 from radishshunt.gateway.key_maps import KEY_MAP_PREFIX, KeyIndex, decode_key_map
-from radishshunt.gateway.rows import Change, Topic
+from radishshunt.gateway.rows import Topic
 from radishshunt.logs import decision
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from radishshunt.clock import Clock
     from radishshunt.gateway.model import Configuration, KeyRange, Route, TargetEntry
-    from radishshunt.gateway.rows import Row, RowReader
+    from radishshunt.gateway.rows import Change, Row, RowReader
 
 logger = logging.getLogger(__name__)
 
@@ -80,6 +82,8 @@
         self.versions: dict[Topic, int] = dict.fromkeys(Topic, 0)
         self.rows: dict[Topic, dict[str, Row]] = {topic: {} for topic in Topic}
         self.changed = trio.Event()
+        # Called with each change that was taken, or ``None`` for moves that began or ended.
+        self.listeners: list[Callable[[Change | None], None]] = []
         self._reader = reader
         self._by_service: dict[str, list[Target]] = {}
         self._routes: dict[str, list[Route]] = {}
@@ -126,13 +130,13 @@
                 self._put(change.topic, row)
         if change.version > self.versions[change.topic] or change.rows:
             self.versions[change.topic] = max(self.versions[change.topic], change.version)
-            self._notify()
+            self._notify(change)
 
     def set_moving(self, moving: dict[str, list[tuple[int, int]]]) -> None:
         """Take which keys the leader is moving."""
         if moving != self.moving:
             self.moving = moving
-            self._notify()
+            self._notify(None)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path."""
@@ -174,9 +178,11 @@
         """Return whether a target is cold."""
         return self.clock.now() < target.cold_until
 
-    def _notify(self) -> None:
+    def _notify(self, change: Change | None) -> None:
         self.changed.set()
         self.changed = trio.Event()
+        for listener in self.listeners:
+            listener(change)
 
     def _put(self, topic: Topic, row: Row) -> None:
         try:
--- a/radishshunt/policy/direct/target_load.py
+++ b/radishshunt/policy/direct/target_load.py
@@ -35,6 +35,7 @@
 
     :param slots: Requests that the target processes at once.
     :ivar own: Requests of this host that are at the target.
+    :ivar samples: Answers measured since the last report to the leader.
     :ivar work_seconds: Mean time for which a request holds a slot.
     """
 
@@ -43,6 +44,7 @@
         self.own = 0
         self.work_seconds = FIRST_WORK_SECONDS
         self.slowdown = 1.0
+        self.samples = 0
         self._report: _Report | None = None
 
     def sent(self) -> None:
@@ -67,6 +69,7 @@
         :param expected_wait: Time that the request was expected to wait in the target's queue.
         """
         work = min(LONGEST_WORK_SECONDS, max(SHORTEST_WORK_SECONDS, seconds - expected_wait))
+        self.samples += 1
         self.work_seconds += WORK_SMOOTHING * (work - self.work_seconds)
 
     def occupancy(self, now: float) -> float:
