Order keys only from the process that was granted them, and follow a moved key at once

Each new connection for orders now begins with an identity check. A request that a former owner turned away waited for a further change although the new owner was known already; it now goes there directly.

--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -39,6 +39,7 @@
 
 logger = logging.getLogger(__name__)
 
+DEFAULT_HEALTH_PATH = "/healthz"
 PLAN_SECONDS = 0.2
 # At the first start, targets register within this time of each other.
 FIRST_PLAN_SECONDS = 1.5
@@ -197,9 +198,14 @@
                 self._nursery.start_soon(self._keep_grants, found)
         return found
 
+    def _health_path(self, service: str) -> str:
+        cfg = self._view.cfg
+        found = cfg.services.get(service) if cfg else None
+        return found.health_path if found else DEFAULT_HEALTH_PATH
+
     async def _keep_grants(self, orders: TargetOrders) -> None:
         """Renew a target's grants."""
-        while True:
+        while not orders.ended:
             silent = self._view.store_age > STORE_SILENT_SECONDS
             seconds = LONG_HOLD_SECONDS if silent else HOLD_SECONDS
             seconds = min(seconds, self._cfg.bounds.hold_max)
@@ -285,6 +291,8 @@
                 and self._clock.now() - orders.failing_since > LOST_SECONDS
             )
             usable = self._usable(target) and not lost
+            if orders is not None and orders.ended:
+                usable = False
             cold = self._view.is_cold(target)
             limit = math.inf
             if cold and service.cold_per_second:
@@ -380,6 +388,9 @@
 
     def _has_ended(self, owner: KeyRange) -> bool:
         """Return whether the process that was granted the keys has certainly ended."""
+        orders = self._orders.get((owner.target, owner.life))
+        if orders is not None and orders.ended:
+            return True
         target = self._view.targets.get(owner.target)
         if target is None:
             return False
--- a/radishshunt/gateway/model.py
+++ b/radishshunt/gateway/model.py
@@ -57,6 +57,7 @@
     :param max_connections: Connections that a target accepts from all hosts together.
     :param cold_per_second: Requests a second that a cold target bears.
     :param handover_seconds: Time for which keys are slow that arrive without handover.
+    :param health_path: Path at which a target names itself.
     """
 
     name: str
@@ -64,6 +65,7 @@
     max_connections: int
     cold_per_second: float
     handover_seconds: float
+    health_path: str = "/healthz"
 
 
 @dataclass(frozen=True, slots=True)
--- a/radishshunt/gateway/orders.py
+++ b/radishshunt/gateway/orders.py
@@ -16,7 +16,7 @@
     from collections.abc import Callable
 
     from radishshunt.clock import Clock
-    from radishshunt.gateway.exchange import Answer, OutgoingRequest
+    from radishshunt.gateway.exchange import Answer, Connection, OutgoingRequest
     from radishshunt.gateway.model import KeyRange, TargetEntry
     from radishshunt.gateway.protocol import TargetProtocol
 
@@ -83,6 +83,7 @@
     """Owns the grants of one life of a target.
 
     :param may_order: Whether this host still leads.
+    :ivar ended: Whether another process has been found at the target's address.
     :ivar failing_since: Moment of the first failure in a row, ``None`` after a success.
     """
 
@@ -92,14 +93,17 @@
         protocol: TargetProtocol,
         clock: Clock,
         may_order: Callable[[], bool],
+        health_path: str,
     ) -> None:
         self.entry = entry
+        self.ended = False
+        self._health_path = health_path
         self.failing_since: float | None = None
         self.held: dict[tuple[int, int], Held] = {}
         self._protocol = protocol
         self._clock = clock
         self._may_order = may_order
-        self._pool = TargetPool(entry.address)
+        self._pool = TargetPool(entry.address, self._verify)
         self._lock = trio.Lock()
 
     def adopt(self, keys: KeyRange, until: float) -> None:
@@ -171,7 +175,7 @@
         return Release(True, times.until, self._protocol.handover(answer))
 
     async def _grant(self, held: Held, seconds: float, handover: str) -> bool:
-        if not self._may_order():
+        if self.ended or not self._may_order():
             return False
         times = held.times
         order = self._protocol.grant(self.entry.address, held.keys, seconds, handover)
@@ -187,6 +191,20 @@
             raise FenceTooLow
         return answer.status == OK
 
+    async def _verify(self, conn: Connection) -> None:
+        """Check that the process at the other end is the one that was granted the keys.
+
+        An address is used again after its process has ended, and a new process takes grants that
+        were meant for the earlier one.
+        """
+        check = self._protocol.identity_check(self.entry.address, self._health_path)
+        name = self._protocol.identity(await conn.exchange(check))
+        if name != self.entry.id:
+            self.ended = bool(name)
+            raise ExchangeError(f"the process at the address is {name or 'unnamed'}", sent=False)
+        if not conn.reusable:
+            raise ExchangeError("connection closed after the identity check", sent=False)
+
     async def _send(self, order: OutgoingRequest, seconds: float) -> Answer | None:
         """Send an order; ``None`` means that nobody knows whether it takes effect."""
         try:
--- a/radishshunt/gateway/protocol.py
+++ b/radishshunt/gateway/protocol.py
@@ -78,6 +78,14 @@
     def is_wrong_target(self, answer: Answer) -> bool:
         """Return whether the target does not hold the key, or is not the one that was meant."""
 
+    @abstractmethod
+    def identity_check(self, host: str, path: str) -> OutgoingRequest:
+        """Return the request that makes a target name itself."""
+
+    @abstractmethod
+    def identity(self, answer: Answer) -> str:
+        """Return the registration that a target names in an answer, empty if it names none."""
+
     @abstractmethod
     def grant(self, host: str, keys: KeyRange, seconds: float, handover: str) -> OutgoingRequest:
         """Return the order that grants keys to a target for a time."""
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -35,7 +35,7 @@
 # when it is expected to begin this much sooner.
 DOMAIN_SECONDS = 0.06
 # Time between the answer at a deadline and the deadline itself.
-ANSWER_MARGIN_SECONDS = 0.012
+ANSWER_MARGIN_SECONDS = 0.035
 # A hop to a target and back takes a few milliseconds.
 HOP_SECONDS = 0.01
 MIN_OFFER_SECONDS = 0.03
@@ -63,6 +63,7 @@
     """What has been tried for one request.
 
     :ivar sent: Whether it may have run somewhere.
+    :ivar not_owner: Registration and life of the target that said last not to hold the key.
     :ivar targets: Targets that may have run it.
     """
 
@@ -70,6 +71,7 @@
     sent: bool = False
     targets: set[str] = field(default_factory=set)
     refused_by: set[str] = field(default_factory=set)
+    not_owner: tuple[str, int] | None = None
 
 
 class Sender:
@@ -193,9 +195,7 @@
         if self._protocol.is_wrong_target(answer):
             if tries.arrivals >= 3:
                 raise self._given_up(tries, "no-owner", state)
-            # The owner has changed, or does not know of its keys yet.
-            with trio.move_on_after(MOVE_WAIT_SECONDS / 2):
-                await self._view.changed.wait()
+            tries.not_owner = (target.entry.id, target.entry.life)
             return
         tries.refused_by.add(target.entry.id)
         if len(tries.refused_by) >= 2 or tries.arrivals >= 3:
@@ -224,7 +224,11 @@
             owner = self._view.owner(service.name, req.key or 0)
             target = self._view.targets.get(owner.target) if owner else None
             moving = self._view.is_moving(service.name, req.key or 0)
-            usable = target is not None and self._view.may_use(target, owner=True)
+            usable = (
+                target is not None
+                and self._view.may_use(target, owner=True)
+                and (target.entry.id, target.entry.life) != tries.not_owner
+            )
             if usable and not moving:
                 break
             with trio.move_on_at(give_up) as scope:
--- a/radishshunt/gateway/target_pool.py
+++ b/radishshunt/gateway/target_pool.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import httpx
 import trio
 
 from radishshunt.gateway.exchange import Answer, Connection, ExchangeError, OutgoingRequest
 from radishshunt.target_transport import open_stream
 
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
 # Hosts and targets are at most some milliseconds apart; a lost opening packet is sent again
 # after a second.
 CONNECT_SECONDS = 0.35
@@ -23,10 +28,15 @@
     """Owns the connections to one target.
 
     :param address: ``ip:port``.
+    :param verify: Called with each new connection; it raises
+        :exc:`~radishshunt.gateway.exchange.ExchangeError` if the connection must not be used.
     :ivar opened: Connections opened so far.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, verify: Callable[[Connection], Awaitable[None]] | None = None
+    ) -> None:
+        self._verify = verify
         ip, _, port = address.rpartition(":")
         self._ip = ip
         self._port = int(port)
@@ -90,4 +100,11 @@
         except httpx.TransportError as exc:
             raise ExchangeError(f"{type(exc).__name__} {exc}", sent=False) from exc
         self.opened += 1
-        return Connection(stream)
+        conn = Connection(stream)
+        if self._verify is not None:
+            try:
+                await self._verify(conn)
+            except BaseException:
+                conn.close()
+                raise
+        return conn
--- a/radishshunt/platform/catalog.py
+++ b/radishshunt/platform/catalog.py
@@ -55,7 +55,9 @@
     MaxConns: int = 100
     IsSharded: bool = False
     ColdPerS: Amount = 0
+    # Time for which keys are slow that arrive without handover.
     WarmS: Amount = 0
+    HealthPath: Text = "/healthz"
 
 
 class _Limits(BaseModel):
@@ -174,7 +176,7 @@
 
 
 def _service(name: str, spec: _Service) -> Service:
-    return Service(name, spec.IsSharded, spec.MaxConns, spec.ColdPerS, spec.WarmS)
+    return Service(name, spec.IsSharded, spec.MaxConns, spec.ColdPerS, spec.WarmS, spec.HealthPath)
 
 
 def _limits(spec: _Limits) -> CallerLimits:
--- a/radishshunt/platform/target_protocol.py
+++ b/radishshunt/platform/target_protocol.py
@@ -14,6 +14,7 @@
     EXPECTED_TARGET,
     GRANT_PATH,
     HANDOVER,
+    INSTANCE,
     KEY,
     LOAD,
     NOT_RUN,
@@ -31,6 +32,7 @@
 _EXPECTED_TARGET = EXPECTED_TARGET.encode()
 _LOAD = LOAD.encode()
 _NOT_RUN = NOT_RUN.encode()
+_INSTANCE = INSTANCE.encode()
 _HANDOVER = HANDOVER.encode()
 _SET_BY_HOST = frozenset({_DEADLINE_MS, _EXPECTED_TARGET, SIGNATURE.encode()})
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
@@ -76,6 +78,12 @@
     def is_wrong_target(self, answer: Answer) -> bool:
         return answer.status == MISDIRECTED
 
+    def identity_check(self, host: str, path: str) -> OutgoingRequest:
+        return OutgoingRequest(b"GET", path.encode(), [(b"host", host.encode())], b"")
+
+    def identity(self, answer: Answer) -> str:
+        return (answer.header(_INSTANCE) or b"").decode("latin-1")
+
     def grant(self, host: str, keys: KeyRange, seconds: float, handover: str) -> OutgoingRequest:
         doc = {
             "From": keys.first,
@@ -85,21 +93,22 @@
         }
         if handover:
             doc["Handover"] = handover
-        return _order(host, GRANT_PATH, doc)
+        return _order(host, GRANT_PATH, keys.target, doc)
 
     def release(self, host: str, keys: KeyRange) -> OutgoingRequest:
         doc = {"From": keys.first, "Target": keys.last, "fence": keys.fence}
-        return _order(host, RELEASE_PATH, doc)
+        return _order(host, RELEASE_PATH, keys.target, doc)
 
     def handover(self, answer: Answer) -> str:
         return (answer.header(_HANDOVER) or b"").decode("latin-1")
 
 
-def _order(host: str, path: str, doc: dict) -> OutgoingRequest:
+def _order(host: str, path: str, target_id: str, doc: dict) -> OutgoingRequest:
     body = json.dumps(doc).encode()
     headers = [
         (b"host", host.encode()),
         (b"content-type", b"application/json"),
+        (_EXPECTED_TARGET, target_id.encode()),
         (b"content-length", str(len(body)).encode()),
     ]
     return OutgoingRequest(b"POST", path.encode(), headers, body)
