--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -71,7 +71,7 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        decision("start", host=self.cfg.name, callers=self.cfg.callers)
+        decision("start", callers=self.cfg.callers, domain=self.cfg.domain)
         parts = {f"follow-{t.value}": self._follower(t).run for t in Topic}
         parts["callers"] = self._callers.run
         parts["ready"] = self._checks.run
@@ -86,7 +86,7 @@
         stop_at = trio.current_time() + self.cfg.bounds.grace - STOP_MARGIN_SECONDS
         self.leaving = True
         self._callers.leaving = True
-        decision("stop", host=self.cfg.name, running=self.front.running)
+        decision("stop", running=self.front.running)
         await self.leadership.give_up()
         await trio.sleep(OUT_OF_ROTATION_SECONDS)
         while self.front.running and trio.current_time() < stop_at:
--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -211,8 +211,8 @@
             seconds = min(seconds, self._cfg.bounds.hold_max)
             try:
                 await orders.renew(seconds)
-            except FenceTooLow:
-                decision("fence-too-low", target=orders.entry.id)
+            except FenceTooLow as exc:
+                decision("fence-too-low", target=orders.entry.id, fence=exc.fence)
                 self._regrant(orders)
             await trio.sleep(RENEW_SECONDS)
 
--- a/radishshunt/gateway/front.py
+++ b/radishshunt/gateway/front.py
@@ -146,7 +146,7 @@
 
     def _log_refusal(self, req: CallerRequest, exc: RequestError) -> None:
         decision(
-            "refuse",
+            "reject",
             request_id=req.attempt_id,
             path=req.path,
             status=exc.status,
--- a/radishshunt/gateway/links.py
+++ b/radishshunt/gateway/links.py
@@ -209,7 +209,10 @@
         fresh = self._view.clock.now() - self._heard_at < FRESH_SECONDS
         if fresh != self._was_fresh:
             self._was_fresh = fresh
-            decision("leader-heard" if fresh else "leader-silent", leader=self._view.leader.host)
+            if fresh:
+                decision("leader-heard", leader=self._view.leader.host)
+            else:
+                decision("leader-silent", leader=self._view.leader.host)
         return fresh
 
     async def run(self) -> None:
--- a/radishshunt/gateway/orders.py
+++ b/radishshunt/gateway/orders.py
@@ -76,7 +76,14 @@
 
 
 class FenceTooLow(Exception):
-    """The target has seen a higher fencing token on some of the keys."""
+    """The target has seen a higher fencing token on some of the keys.
+
+    :param fence: Token that it refused.
+    """
+
+    def __init__(self, fence: int) -> None:
+        super().__init__(f"fencing token {fence} is too low")
+        self.fence = fence
 
 
 class TargetOrders:
@@ -188,7 +195,7 @@
             times.until = max(times.until, ended_at + lasts)
             return False
         if answer.status == CONFLICT:
-            raise FenceTooLow
+            raise FenceTooLow(held.keys.fence)
         return answer.status == OK
 
     async def _verify(self, conn: Connection) -> None:
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -31,6 +31,8 @@
 MOVE_WAIT_SECONDS = 0.6
 # Part of the operators' retry budget that the hosts use together, since each counts alone.
 BUDGET_PART = 0.75
+# Part of a full budget that only the most urgent kinds of a service may use.
+URGENT_RESERVE = 0.25
 # Bytes between failure domains are priced, so that a target of another domain is chosen only
 # when it is expected to begin this much sooner.
 DOMAIN_SECONDS = 0.06
@@ -39,6 +41,8 @@
 # A hop to a target and back takes a few milliseconds.
 HOP_SECONDS = 0.01
 MIN_OFFER_SECONDS = 0.03
+# Times that one request is sent, those that targets turned away included.
+MAX_ARRIVALS = 4
 # Failures in a row after which a target without keys is avoided, and for how long.
 AVOID_FAILURES = 2
 AVOID_SECONDS = 1.0
@@ -142,7 +146,7 @@
         """
         target = await self._choose(req, route, service, tries, deadline)
         state = self.state(target)
-        if tries.arrivals and not self._budget(service).spend():
+        if tries.arrivals and not self._may_repeat(route, service):
             raise self._given_up(tries, "retry-budget", state)
         tries.arrivals += 1
         now = trio.current_time()
@@ -193,12 +197,18 @@
         self, answer: Answer, target: Target, state: TargetState, tries: Tries, deadline: float
     ) -> None:
         if self._protocol.is_wrong_target(answer):
-            if tries.arrivals >= 3:
+            if tries.arrivals >= MAX_ARRIVALS:
                 raise self._given_up(tries, "no-owner", state)
             tries.not_owner = (target.entry.id, target.entry.life)
             return
+        report = self._protocol.load(answer)
+        if report is not None and report.running < report.slots and report.waiting == 0:
+            # The target turned the request away although it has room; it may take the next one.
+            if tries.arrivals >= MAX_ARRIVALS:
+                raise self._given_up(tries, "target-refuses", state)
+            return
         tries.refused_by.add(target.entry.id)
-        if len(tries.refused_by) >= 2 or tries.arrivals >= 3:
+        if len(tries.refused_by) >= 2 or tries.arrivals >= MAX_ARRIVALS:
             raise self._given_up(tries, "target-full", state)
 
     def _given_up(self, tries: Tries, reason: str, state: TargetState) -> Exception:
@@ -309,6 +319,12 @@
         if state.failures >= AVOID_FAILURES:
             state.avoid_until = now + AVOID_SECONDS
 
+    def _may_repeat(self, route: Route, service: Service) -> bool:
+        """Take a repetition from the budget; urgent kinds may use all of it."""
+        budget = self._budget(service)
+        urgent = route.priority <= self._top_priority(service)
+        return (urgent or budget.tokens >= URGENT_RESERVE * budget.capacity) and budget.spend()
+
     def _budget(self, service: Service) -> TokenBudget:
         found = self._budgets.get(service.name)
         if found is None:
@@ -334,7 +350,7 @@
         error: str = "",
     ) -> None:
         decision(
-            "route",
+            "attempt",
             request_id=req.attempt_id,
             route=route.name,
             key=req.key,
--- a/radishshunt/policy/budgets.py
+++ b/radishshunt/policy/budgets.py
@@ -22,6 +22,16 @@
         self._max = max_tokens
         self._tokens = max_tokens
 
+    @property
+    def tokens(self) -> float:
+        """Repetitions that are allowed now."""
+        return self._tokens
+
+    @property
+    def capacity(self) -> float:
+        """Tokens that can be saved."""
+        return self._max
+
     def earn(self) -> None:
         """Count a first attempt."""
         self._tokens = min(self._max, self._tokens + self._ratio)
