--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from radishshunt.clock import BootClock
+from radishshunt.clock import BootClock, SystemClock
 from radishshunt.gateway.coordinator import Coordinator
 from radishshunt.gateway.follower import Follower
 from radishshunt.gateway.front import Front
@@ -21,12 +21,15 @@
 from radishshunt.http_server import HttpServer
 from radishshunt.logs import decision
 from radishshunt.memory import BodyMemory
+from radishshunt.quarantine import Quarantine
 from radishshunt.supervisor import Supervisor
 
 if TYPE_CHECKING:
+    from radishshunt.gateway.messages import Report
     from radishshunt.gateway.protocol import TargetProtocol
     from radishshunt.gateway.rows import RowReader, RowStore
     from radishshunt.gateway.settings import HostSettings
+    from radishshunt.wire.messages import Suspect
 
 logger = logging.getLogger(__name__)
 
@@ -54,7 +57,9 @@
         self.view = View(reader, BootClock())
         self._store = store
         self._ready_path = ready_path
-        self.sender = Sender(cfg, self.view, protocol)
+        self._wall = SystemClock()
+        self.quarantine = Quarantine()
+        self.sender = Sender(cfg, self.view, protocol, self.quarantine, self._wall)
         self.front = Front(self.view, self.sender, protocol, BodyMemory(BODY_BYTES))
         self.leadership = Leadership(cfg, self.view, store)
         self.heat = MeasuredHeat(self.view.clock)
@@ -63,7 +68,7 @@
         )
         self._link = LinkClient(cfg, self.view, self.sender.report, self._take_suspects)
         self._links = LinkServer(
-            cfg, self.view, lambda: self.leadership.valid, self.heat.take, self._suspects
+            cfg, self.view, lambda: self.leadership.valid, self._take_report, self._suspects
         )
         self._callers = HttpServer(self.front.app, cfg.callers, name="callers")
         self._checks = HttpServer(self._check_app, cfg.ready, name="ready")
@@ -79,6 +84,7 @@
         parts["link"] = self._link.run
         parts["links"] = self._links.run
         parts["report"] = self._report_own
+        parts["losses"] = self.sender.confirm_losses
         await self._supervisor.run(parts)
 
     async def stop(self) -> None:
@@ -108,11 +114,15 @@
             elif self._link.hosts:
                 self.sender.hosts = self._link.hosts
 
-    def _suspects(self) -> dict[int, int]:
-        return {}
+    def _suspects(self) -> tuple[Suspect, ...]:
+        return tuple(self.quarantine.suspects(self._wall.now()))
 
-    def _take_suspects(self, suspects: dict[int, int]) -> None:
-        pass
+    def _take_suspects(self, suspects: tuple[Suspect, ...]) -> None:
+        self.quarantine.merge(suspects, self._wall.now())
+
+    def _take_report(self, report: Report) -> None:
+        self.heat.take(report)
+        self._take_suspects(report.suspects)
 
     async def _check_app(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer the platform's readiness check."""
--- a/radishshunt/gateway/gateway.capnp
+++ b/radishshunt/gateway/gateway.capnp
@@ -51,7 +51,8 @@
 
 struct Suspect {
   fingerprint @0 :UInt64;
-  losses @1 :UInt16;
+  deaths @1 :List(UInt64);
+  expiresAt @2 :Float64;
 }
 
 # To the leader.
--- a/radishshunt/gateway/links.py
+++ b/radishshunt/gateway/links.py
@@ -23,6 +23,7 @@
 
     from radishshunt.gateway.settings import HostSettings
     from radishshunt.gateway.view import View
+    from radishshunt.wire.messages import Suspect
 
 logger = logging.getLogger(__name__)
 
@@ -85,7 +86,7 @@
         view: View,
         leading: Callable[[], bool],
         take_report: Callable[[Report], None],
-        suspects: Callable[[], dict[int, int]],
+        suspects: Callable[[], tuple[Suspect, ...]],
     ) -> None:
         self._cfg = cfg
         self._view = view
@@ -193,7 +194,7 @@
         cfg: HostSettings,
         view: View,
         report: Callable[[], Report],
-        take_suspects: Callable[[dict[int, int]], None],
+        take_suspects: Callable[[tuple[Suspect, ...]], None],
     ) -> None:
         self.hosts = 0
         self._cfg = cfg
--- a/radishshunt/gateway/messages.py
+++ b/radishshunt/gateway/messages.py
@@ -4,11 +4,16 @@
 
 from dataclasses import dataclass, field
 from importlib.resources import as_file, files
+from typing import TYPE_CHECKING
 
 import capnp
 
 from radishshunt.errors import ProtocolError
 from radishshunt.gateway.rows import Change, Row, Topic
+from radishshunt.wire.messages import Suspect
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 LENGTH_BYTES = 4
@@ -26,7 +31,7 @@
     :param store_age: Seconds since the store answered the sender.
     :param hosts: Hosts that the leader hears, itself included.
     :param moving: Ranges of keys that are being moved, by service.
-    :param suspects: Targets lost by the fingerprint of the request that they ran.
+    :param suspects: Requests that were running on targets as those were lost.
     """
 
     leading: bool
@@ -34,7 +39,7 @@
     hosts: int
     changes: tuple[Change, ...] = ()
     moving: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
-    suspects: dict[int, int] = field(default_factory=dict)
+    suspects: tuple[Suspect, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +65,7 @@
     host: str
     heat: dict[str, dict[int, int]]
     work: tuple[Work, ...] = ()
-    suspects: dict[int, int] = field(default_factory=dict)
+    suspects: tuple[Suspect, ...] = ()
 
 
 def encode(msg: News | Report) -> bytes:
@@ -131,8 +136,15 @@
     }
 
 
-def _suspects(suspects: dict[int, int]) -> list[dict]:
-    return [{"fingerprint": f, "losses": n} for f, n in suspects.items()]
+def _suspects(suspects: tuple[Suspect, ...]) -> list[dict]:
+    return [
+        {"fingerprint": item.fingerprint, "deaths": item.deaths, "expiresAt": item.expires_at}
+        for item in suspects
+    ]
+
+
+def _read_suspects(items: Iterable[capnp.lib.capnp._DynamicStructReader]) -> tuple[Suspect, ...]:
+    return tuple(Suspect(item.fingerprint, list(item.deaths), "", item.expiresAt) for item in items)
 
 
 def _news(news: capnp.lib.capnp._DynamicStructReader) -> News:
@@ -151,12 +163,11 @@
         )
         for change in news.changes
     )
-    suspects = {item.fingerprint: item.losses for item in news.suspects}
+    suspects = _read_suspects(news.suspects)
     return News(news.leading, news.storeAge, news.hosts, changes, moving, suspects)
 
 
 def _report(report: capnp.lib.capnp._DynamicStructReader) -> Report:
     heat = {item.service: {entry.key: entry.count for entry in item.counts} for item in report.heat}
     work = tuple(Work(item.target, item.seconds, item.samples) for item in report.work)
-    suspects = {item.fingerprint: item.losses for item in report.suspects}
-    return Report(report.host, heat, work, suspects)
+    return Report(report.host, heat, work, _read_suspects(report.suspects))
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -2,30 +2,43 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import dataclass, field
 from random import Random
 from typing import TYPE_CHECKING
 
+import httpx
 import trio
+from xxhash import xxh3_64_intdigest
 
 from radishshunt.errors import NotRun, OutcomeOfRequestUnknown
 from radishshunt.gateway.exchange import ExchangeError
 from radishshunt.gateway.messages import Report, Work
 from radishshunt.gateway.model import RequestKind
 from radishshunt.gateway.target_pool import TargetPool
+from radishshunt.hashing import fingerprint
 from radishshunt.logs import decision
 from radishshunt.policy.budgets import TokenBudget
 from radishshunt.policy.direct.cold_rate import ColdRate
 from radishshunt.policy.direct.refusal import may_offer, retry_after
 from radishshunt.policy.direct.target_load import TargetLoad
+from radishshunt.quarantine import DEATHS_REFUSED
+from radishshunt.target_transport import open_stream
 
 if TYPE_CHECKING:
+    from radishshunt.clock import Clock
     from radishshunt.gateway.exchange import Answer
-    from radishshunt.gateway.model import Route, Service
+    from radishshunt.gateway.model import Route, Service, TargetEntry
     from radishshunt.gateway.protocol import CallerRequest, TargetProtocol
     from radishshunt.gateway.settings import HostSettings
     from radishshunt.gateway.view import Target, View
+    from radishshunt.quarantine import Quarantine
 
+logger = logging.getLogger(__name__)
+
+# Losses that wait to be looked into, and the time for asking whether a target still listens.
+QUEUED_LOSSES = 256
+CONFIRM_SECONDS = 0.3
 # Time for which a request waits for keys that are being moved; a move takes a few hundred
 # milliseconds, as the old owner finishes its work.
 MOVE_WAIT_SECONDS = 0.6
@@ -62,6 +75,14 @@
     avoid_until: float = float("-inf")
 
 
+@dataclass(frozen=True, slots=True)
+class _Loss:
+    """A request without an answer, and the target that it was sent to."""
+
+    target: TargetEntry
+    fingerprint: int
+
+
 @dataclass(slots=True)
 class Tries:
     """What has been tried for one request.
@@ -71,6 +92,7 @@
     :ivar targets: Targets that may have run it.
     """
 
+    fingerprint: int
     arrivals: int = 0
     sent: bool = False
     targets: set[str] = field(default_factory=set)
@@ -85,8 +107,17 @@
     """
 
     def __init__(
-        self, cfg: HostSettings, view: View, protocol: TargetProtocol, rng: Random | None = None
+        self,
+        cfg: HostSettings,
+        view: View,
+        protocol: TargetProtocol,
+        quarantine: Quarantine,
+        clock: Clock,
+        rng: Random | None = None,
     ) -> None:
+        self._quarantine = quarantine
+        self._clock = clock
+        self._losses, self._incoming_losses = trio.open_memory_channel[_Loss](QUEUED_LOSSES)
         self.hosts = 12
         self.arrivals: dict[str, dict[int, int]] = {}
         self._cfg = cfg
@@ -118,6 +149,26 @@
                 state.load.samples = 0
         return Report(self._cfg.name, heat, tuple(work))
 
+    async def confirm_losses(self) -> None:
+        """Find out which targets ended as they ran a request; run until cancelled."""
+        async with trio.open_nursery() as nursery:
+            async for loss in self._incoming_losses:
+                nursery.start_soon(self._confirm_loss, loss)
+
+    async def _confirm_loss(self, loss: _Loss) -> None:
+        """Make a request a suspect if its target's process has ended, not only its answer."""
+        ip, _, port = loss.target.address.rpartition(":")
+        try:
+            stream = await open_stream(ip, int(port), CONFIRM_SECONDS)
+        except httpx.ConnectError:
+            incarnation = xxh3_64_intdigest(f"{loss.target.id}/{loss.target.life}".encode())
+            self._quarantine.note_death(loss.fingerprint, "", incarnation, self._clock.now())
+            decision("crash", target=loss.target.id, fingerprint=f"{loss.fingerprint:016x}")
+        except httpx.ConnectTimeout:
+            logger.info("target %s does not answer after a loss", loss.target.id)
+        else:
+            stream.socket.close()
+
     async def send(self, req: CallerRequest, route: Route, service: Service) -> Answer:
         """Return the answer of a target.
 
@@ -125,7 +176,9 @@
         :raises OutcomeOfRequestUnknown: If one may have run it.
         """
         self._count(service, req)
-        tries = Tries()
+        tries = Tries(fingerprint(service.name, req.method, req.path, "", req.body))
+        if self._quarantine.deaths(tries.fingerprint, "", self._clock.now()) >= DEATHS_REFUSED:
+            raise NotRun("quarantined", "targets ended as they ran this request")
         deadline = min(req.deadline, req.received_at + route.timeout_seconds)
         deadline -= ANSWER_MARGIN_SECONDS
         with trio.move_on_at(deadline):
@@ -173,6 +226,7 @@
         if self._protocol.not_run(answer):
             return await self._after_refusal(answer, target, state, tries, deadline)
         state.failures = 0
+        self._quarantine.note_answer(tries.fingerprint, "")
         if answer.status < 500:
             state.load.worked(now - started, wait)
         return answer
@@ -188,6 +242,10 @@
             return
         tries.sent = True
         tries.targets.add(target.entry.id)
+        try:
+            self._losses.send_nowait(_Loss(target.entry, tries.fingerprint))
+        except trio.WouldBlock:
+            logger.warning("too many losses at once, target %s is not checked", target.entry.id)
         if route.kind is not RequestKind.IDEMPOTENT:
             raise OutcomeOfRequestUnknown("no-answer", str(exc), status=502)
         if tries.arrivals >= route.max_attempts:
