--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -192,7 +192,13 @@
         key = (entry.id, entry.life)
         found = self._orders.get(key)
         if found is None:
-            found = TargetOrders(entry, self._protocol, self._clock, lambda: self._leadership.valid)
+            found = TargetOrders(
+                entry,
+                self._protocol,
+                self._clock,
+                lambda: self._leadership.valid,
+                self._health_path(entry.service),
+            )
             self._orders[key] = found
             if self._nursery is not None:
                 self._nursery.start_soon(self._keep_grants, found)
