--- a/radishshunt/gateway/exchange.py
+++ b/radishshunt/gateway/exchange.py
@@ -175,6 +175,7 @@
         http = self._http
         self.reusable = (
             whole
+            and _has_length(answer)
             and http.our_state is h11.DONE
             and http.their_state is h11.DONE
             and not http.trailing_data[0]
@@ -187,6 +188,15 @@
         self.idle_limit = _keep_alive_seconds(answer)
 
 
+def _has_length(answer: Answer) -> bool:
+    """Return whether an answer's end does not depend on the end of its connection."""
+    return (
+        answer.status in (204, 304)
+        or answer.header(b"content-length") is not None
+        or answer.header(b"transfer-encoding") is not None
+    )
+
+
 def _keep_alive_seconds(answer: Answer) -> float:
     """Return how long the target keeps the connection open unused."""
     value = answer.header(b"keep-alive") or b""
--- /dev/null
+++ b/tests/test_gateway/test_gateway_coordinator.py
@@ -0,0 +1,125 @@
+"""Division and moves of keys by the leading host."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import trio
+
+from radishshunt.gateway.coordinator import Coordinator
+from radishshunt.gateway.heat import MeasuredHeat
+from radishshunt.gateway.key_maps import KEY_MAP_PREFIX, decode_key_map
+from radishshunt.gateway.leadership import Leadership
+from radishshunt.gateway.messages import Report
+from radishshunt.gateway.model import LAST_KEY
+from radishshunt.gateway.rows import Topic
+from radishshunt.platform.target_protocol import HttpTargetProtocol
+from tests.test_gateway.conftest import CONFIGURATION, entry_value, put
+
+if TYPE_CHECKING:
+    from radishshunt.gateway.settings import HostSettings
+    from radishshunt.gateway.view import View
+    from tests.test_gateway.conftest import MemoryStore, OrderLog
+
+ROW = KEY_MAP_PREFIX + "register"
+
+
+def _coordinator(view: View, store: MemoryStore, cfg: HostSettings, heat: MeasuredHeat):
+    leadership = Leadership(cfg, view, store)
+    return Coordinator(cfg, view, leadership, HttpTargetProtocol(), heat, view.clock)
+
+
+def _start(view: View, log: OrderLog, targets: int) -> None:
+    put(view, Topic.OPERATOR, "config", json.dumps(CONFIGURATION).encode(), 1)
+    for number in range(targets):
+        address = f"127.0.0.{number + 1}:9"
+        log.names[address] = f"i-{number}"
+        put(view, Topic.TARGETS, f"i-{number}", entry_value(address), 2 + number)
+
+
+async def _follow(view: View, store: MemoryStore) -> None:
+    while True:
+        view.apply(await store.read(Topic.OWN))
+        await trio.sleep(0.2)
+
+
+def _assert_one_owner_each(store: MemoryStore, log: OrderLog, targets: int) -> None:
+    holders: dict[int, int] = {}
+    for number in range(targets):
+        for first, last in log.holds(f"127.0.0.{number + 1}:9"):
+            for key in range(first, last + 1):
+                assert key not in holders, f"key {key} has two owners"
+                holders[key] = number
+    for item in decode_key_map(store.rows[ROW].value).ranges:
+        assert holders[item.first] == int(item.target[2:])
+        assert holders[item.last] == int(item.target[2:])
+    assert len(holders) == LAST_KEY + 1
+
+
+async def test_hot_keys_spread_and_every_key_keeps_one_owner(
+    view: View, store: MemoryStore, cfg: HostSettings, order_log: OrderLog
+) -> None:
+    """Guards against moves that undo each other when two key maps are written at once."""
+    heat = MeasuredHeat(view.clock)
+    coordinator = _coordinator(view, store, cfg, heat)
+    _start(view, order_log, 6)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow, view, store)
+        nursery.start_soon(coordinator.run)
+        await trio.sleep(4.0)
+        _assert_one_owner_each(store, order_log, 6)
+        for _ in range(30):
+            counts = {30_000 + key: 1 for key in range(60)} | {500 + key: 2 for key in range(20)}
+            heat.take(Report("edge-2", {"register": counts}))
+            await trio.sleep(0.2)
+        await trio.sleep(3.0)
+        owners = {
+            item.target
+            for item in decode_key_map(store.rows[ROW].value).ranges
+            if item.last >= 30_000 and item.first < 30_060
+        }
+        assert len(owners) >= 3
+        _assert_one_owner_each(store, order_log, 6)
+        nursery.cancel_scope.cancel()
+
+
+async def test_keys_of_a_draining_target_move_with_handover(
+    view: View, store: MemoryStore, cfg: HostSettings, order_log: OrderLog
+) -> None:
+    """Guards against requests at a leaving target after the operators' bound of 2 s."""
+    coordinator = _coordinator(view, store, cfg, MeasuredHeat(view.clock))
+    _start(view, order_log, 4)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow, view, store)
+        nursery.start_soon(coordinator.run)
+        await trio.sleep(4.0)
+        put(view, Topic.TARGETS, "i-1", entry_value("127.0.0.2:9", State="draining"), 50)
+        await trio.sleep(1.0)
+        key_map = decode_key_map(store.rows[ROW].value)
+        assert "i-1" not in {item.target for item in key_map.ranges}
+        assert order_log.holds("127.0.0.2:9") == []
+        moved = [doc for _, path, doc in order_log.taken if doc.get("Handover")]
+        assert moved
+        nursery.cancel_scope.cancel()
+
+
+async def test_keys_of_a_silent_target_wait_for_the_end_of_its_grant(
+    view: View, store: MemoryStore, cfg: HostSettings, order_log: OrderLog
+) -> None:
+    """Guards against two owners when a target is cut off and still runs."""
+    coordinator = _coordinator(view, store, cfg, MeasuredHeat(view.clock))
+    _start(view, order_log, 3)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow, view, store)
+        nursery.start_soon(coordinator.run)
+        await trio.sleep(4.0)
+        last_grant = trio.current_time()
+        order_log.names["127.0.0.1:9"] = ""
+        orders = coordinator._orders["i-0", 1]
+        orders._pool._connected = False
+        put(view, Topic.TARGETS, "i-0", None, 50)
+        while "i-0" in {i.target for i in decode_key_map(store.rows[ROW].value).ranges}:
+            await trio.sleep(0.05)
+        assert trio.current_time() - last_grant >= 4.5 - 1.0
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_gateway/test_gateway_leadership.py
@@ -0,0 +1,94 @@
+"""The lease by which one host leads."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+from radishshunt.gateway.leadership import LEASE_SECONDS, Leadership, LeaseLost
+from radishshunt.gateway.rows import Topic
+from radishshunt.gateway.view import LEADER_KEY, View
+from radishshunt.platform.catalog import CatalogReader
+
+if TYPE_CHECKING:
+    from radishshunt.gateway.settings import HostSettings
+    from tests.test_gateway.conftest import MemoryStore
+
+
+async def _follow(view: View, store: MemoryStore) -> None:
+    while True:
+        view.apply(await store.read(Topic.OWN))
+        await trio.sleep(0.1)
+
+
+async def test_second_host_leads_only_after_the_lease_of_the_first_has_ended(
+    view: View, store: MemoryStore, cfg: HostSettings
+) -> None:
+    """Guards against two hosts that order keys at the same time."""
+    first = Leadership(cfg, view, store, Random(1))
+    other_view = View(CatalogReader(), view.clock)
+    other = Leadership(replace(cfg, name="edge-2", inner_port=9), other_view, store, Random(2))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow, view, store)
+        nursery.start_soon(_follow, other_view, store)
+        await first.wait_for_term()
+        ended_at = []
+        with trio.CancelScope() as keeping:
+            async with trio.open_nursery() as inner:
+                inner.start_soon(first.keep)
+                await trio.sleep(5.0)
+                assert first.valid
+                keeping.cancel()
+        started = trio.current_time()
+        await other.wait_for_term()
+        ended_at.append(trio.current_time() - started)
+        assert not first.valid
+        assert other.valid
+        assert LEASE_SECONDS - 1.0 < ended_at[0] < LEASE_SECONDS + 1.0
+        nursery.cancel_scope.cancel()
+
+
+async def test_restarted_host_leads_at_once(
+    view: View, store: MemoryStore, cfg: HostSettings
+) -> None:
+    """Guards against keys that lapse while a restarted leader waits for its own lease."""
+    view.apply(await store.read(Topic.OWN))
+    await Leadership(cfg, view, store).wait_for_term()
+    view.apply(await store.read(Topic.OWN))
+    started = trio.current_time()
+    await Leadership(cfg, view, store).wait_for_term()
+    assert trio.current_time() - started < 0.5
+
+
+async def test_renewal_without_an_answer_is_found_again(
+    view: View, store: MemoryStore, cfg: HostSettings
+) -> None:
+    """Guards against a leader that takes its own late write for another host's."""
+    view.apply(await store.read(Topic.OWN))
+    leadership = Leadership(cfg, view, store)
+    await leadership.wait_for_term()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(leadership.keep)
+        store.lose_answers = 1
+        await trio.sleep(4.0)
+        assert leadership.valid
+        nursery.cancel_scope.cancel()
+
+
+async def test_write_fails_once_another_host_leads(
+    view: View, store: MemoryStore, cfg: HostSettings
+) -> None:
+    """Guards against key maps that a former leader writes."""
+    view.apply(await store.read(Topic.OWN))
+    leadership = Leadership(cfg, view, store)
+    await leadership.wait_for_term()
+    version = store.rows[LEADER_KEY].version
+    value = b'{"host": "edge-2", "address": "127.0.0.2:3", "term": "t"}'
+    assert (await store.commit({LEADER_KEY: version}, [(LEADER_KEY, value)])).done
+    with pytest.raises(LeaseLost):
+        await leadership.commit({"keys/x": 0}, [("keys/x", b"{}")])
+    assert "keys/x" not in store.rows
--- /dev/null
+++ b/tests/test_gateway/test_gateway_view.py
@@ -0,0 +1,104 @@
+"""What a host believes from rows of the store."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+from radishshunt.gateway.rows import Change, Row, Topic
+from tests.test_gateway.conftest import CONFIGURATION, entry_value, put
+
+if TYPE_CHECKING:
+    from radishshunt.gateway.view import View
+
+
+def _configuration(version: int, prefix: str = "/reads/") -> bytes:
+    doc = json.loads(json.dumps(CONFIGURATION))
+    doc["Version"] = version
+    doc["Resources"][0]["Spec"]["Prefix"] = prefix
+    return json.dumps(doc).encode()
+
+
+async def test_configuration_never_goes_back(view: View) -> None:
+    """Guards against a late row that brings an older version back."""
+    put(view, Topic.OPERATOR, "config", _configuration(9), 10)
+    put(view, Topic.OPERATOR, "config", _configuration(7, "/old/"), 11)
+    assert view.cfg is not None
+    assert view.cfg.version == 9
+    assert view.find_route("a.example", "/old/x") is None
+
+
+async def test_longest_prefix_wins(view: View) -> None:
+    """Guards against a shorter route that takes the requests of a longer one."""
+    doc = json.loads(_configuration(1))
+    doc["Resources"][1]["Spec"]["Prefix"] = "/reads/fees/"
+    put(view, Topic.OPERATOR, "config", json.dumps(doc).encode(), 1)
+    route = view.find_route("A.example:80", "/reads/fees/1")
+    assert route is not None
+    assert route.name == "fees"
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\xfe",
+        b"[]",
+        b'{"Addr": 5}',
+        entry_value(State="sleeping"),
+        entry_value(Sequence="1"),
+        entry_value("no-port"),
+    ],
+)
+async def test_malformed_entry_names_no_target_and_the_others_hold(
+    view: View, value: bytes
+) -> None:
+    """Guards against entries of other writers that break discovery."""
+    put(view, Topic.TARGETS, "i-1", entry_value(), 1)
+    put(view, Topic.TARGETS, "i-2", value, 2)
+    assert [target.entry.id for target in view.targets_of("register")] == ["i-1"]
+
+
+async def test_draining_target_is_used_only_as_owner_and_not_for_long(view: View) -> None:
+    """Guards against requests at a leaving target after 2 s."""
+    put(view, Topic.TARGETS, "i-1", entry_value(), 1)
+    put(view, Topic.TARGETS, "i-1", entry_value(State="draining"), 2)
+    target = view.targets["i-1"]
+    assert not view.may_use(target, owner=False)
+    assert view.may_use(target, owner=True)
+    await trio.sleep(1.9)
+    assert not view.may_use(target, owner=True)
+
+
+async def test_entry_that_lapsed_in_an_outage_is_used_until_it_should_be_back(view: View) -> None:
+    """Guards against giving up all targets whose entries expired while the store was away."""
+    put(view, Topic.TARGETS, "i-1", entry_value(), 1)
+    view.store_answered()
+    await trio.sleep(6.0)
+    view.store_answered()
+    put(view, Topic.TARGETS, "i-1", None, 2)
+    target = view.targets["i-1"]
+    assert view.may_use(target, owner=False)
+    await trio.sleep(1.9)
+    assert not view.may_use(target, owner=False)
+
+
+async def test_evacuated_domain_gets_no_new_work(view: View) -> None:
+    """Guards against requests in a domain that operators took out."""
+    put(view, Topic.TARGETS, "i-1", entry_value(), 1)
+    put(view, Topic.OPERATOR, "evacuate/munich", b"{}", 2)
+    assert not view.may_use(view.targets["i-1"], owner=False)
+    put(view, Topic.OPERATOR, "evacuate/munich", None, 3)
+    assert view.may_use(view.targets["i-1"], owner=False)
+
+
+async def test_rows_missing_from_a_whole_reading_are_gone(view: View) -> None:
+    """Guards against targets that left while the store dropped its history."""
+    put(view, Topic.TARGETS, "i-1", entry_value(), 1)
+    put(view, Topic.TARGETS, "i-2", entry_value(), 2)
+    rows = (Row("i-2", 2, entry_value()),)
+    view.apply(Change(Topic.TARGETS, rows, 5, whole=True))
+    assert view.targets["i-1"].gone
+    assert not view.targets["i-2"].gone
--- /dev/null
+++ b/tests/test_platform/test_platform_settings_file.py
@@ -0,0 +1,51 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+import pytest
+
+from radishshunt.errors import SettingsError
+from radishshunt.platform.settings_file import parse_host_settings
+
+TEXT = """\
+Grants=direct
+Self.NodeId=edge-1
+Self.Ip=10.1.0.35
+Self.Zone=munich
+Self.Unknown.Field=x
+Network.Bind.FrontAddr=10.1.0.35:8144
+Network.Bind.Ready=10.1.0.35:8140
+Network.PortRange=7660,7675
+Platform.HeartbeatMs=870
+Platform.Platform.Addr=10.200.1.7:8142
+Terms.Bounds.HoldMaxMs=8000
+Terms.Bounds.RetryRatio=0.2
+"""
+
+
+def test_fields_are_read_and_unknown_ones_ignored() -> None:
+    """Guards against a host that does not start because of a new field."""
+    cfg = parse_host_settings(TEXT, "settings.conf")
+    assert (cfg.name, cfg.domain, cfg.inner_port) == ("edge-1", "munich", 7660)
+    assert cfg.store == "10.200.1.7:8142"
+    assert cfg.bounds.hold_max == 8.0
+    assert cfg.heartbeat_seconds == 0.87
+
+
+def test_every_problem_names_its_line() -> None:
+    """Guards against an operator who mends one problem at a time."""
+    text = TEXT.replace("10.1.0.35:8144", "nowhere").replace("7660,7675", "many")
+    with pytest.raises(SettingsError) as caught:
+        parse_host_settings(text + "no value here\n", "settings.conf")
+    problems = caught.value.problems
+    assert any(p.startswith("settings.conf:6: Network.Bind.FrontAddr") for p in problems)
+    assert any(p.startswith("settings.conf:8: Network.PortRange") for p in problems)
+    assert any(p.startswith("settings.conf:13: expected a line") for p in problems)
+
+
+def test_missing_field_is_named() -> None:
+    """Guards against a host that starts without an address of the store."""
+    text = TEXT.replace("Platform.Platform.Addr=10.200.1.7:8142\n", "")
+    with pytest.raises(SettingsError) as caught:
+        parse_host_settings(text, "settings.conf")
+    assert any("Platform.Platform" in p for p in caught.value.problems)
