--- a/tests/test_gateway/test_gateway_coordinator.py
+++ b/tests/test_gateway/test_gateway_coordinator.py
@@ -58,7 +58,7 @@
 
 
 async def test_hot_keys_spread_and_every_key_keeps_one_owner(
-    view: View, store: MemoryStore, cfg: HostSettings, order_log: OrderLog
+    autojump_clock: object, view: View, store: MemoryStore, cfg: HostSettings, order_log: OrderLog
 ) -> None:
     """Guards against moves that undo each other when two key maps are written at once."""
     heat = MeasuredHeat(view.clock)
@@ -85,7 +85,7 @@
 
 
 async def test_keys_of_a_draining_target_move_with_handover(
-    view: View, store: MemoryStore, cfg: HostSettings, order_log: OrderLog
+    autojump_clock: object, view: View, store: MemoryStore, cfg: HostSettings, order_log: OrderLog
 ) -> None:
     """Guards against requests at a leaving target after the operators' bound of 2 s."""
     coordinator = _coordinator(view, store, cfg, MeasuredHeat(view.clock))
@@ -105,7 +105,7 @@
 
 
 async def test_keys_of_a_silent_target_wait_for_the_end_of_its_grant(
-    view: View, store: MemoryStore, cfg: HostSettings, order_log: OrderLog
+    autojump_clock: object, view: View, store: MemoryStore, cfg: HostSettings, order_log: OrderLog
 ) -> None:
     """Guards against two owners when a target is cut off and still runs."""
     coordinator = _coordinator(view, store, cfg, MeasuredHeat(view.clock))
--- a/tests/test_gateway/test_gateway_leadership.py
+++ b/tests/test_gateway/test_gateway_leadership.py
@@ -26,7 +26,7 @@
 
 
 async def test_second_host_leads_only_after_the_lease_of_the_first_has_ended(
-    view: View, store: MemoryStore, cfg: HostSettings
+    autojump_clock: object, view: View, store: MemoryStore, cfg: HostSettings
 ) -> None:
     """Guards against two hosts that order keys at the same time."""
     first = Leadership(cfg, view, store, Random(1))
@@ -53,7 +53,7 @@
 
 
 async def test_restarted_host_leads_at_once(
-    view: View, store: MemoryStore, cfg: HostSettings
+    autojump_clock: object, view: View, store: MemoryStore, cfg: HostSettings
 ) -> None:
     """Guards against keys that lapse while a restarted leader waits for its own lease."""
     view.apply(await store.read(Topic.OWN))
@@ -65,7 +65,7 @@
 
 
 async def test_renewal_without_an_answer_is_found_again(
-    view: View, store: MemoryStore, cfg: HostSettings
+    autojump_clock: object, view: View, store: MemoryStore, cfg: HostSettings
 ) -> None:
     """Guards against a leader that takes its own late write for another host's."""
     view.apply(await store.read(Topic.OWN))
@@ -80,7 +80,7 @@
 
 
 async def test_write_fails_once_another_host_leads(
-    view: View, store: MemoryStore, cfg: HostSettings
+    autojump_clock: object, view: View, store: MemoryStore, cfg: HostSettings
 ) -> None:
     """Guards against key maps that a former leader writes."""
     view.apply(await store.read(Topic.OWN))
--- a/tests/test_gateway/test_gateway_view.py
+++ b/tests/test_gateway/test_gateway_view.py
@@ -22,7 +22,7 @@
     return json.dumps(doc).encode()
 
 
-async def test_configuration_never_goes_back(view: View) -> None:
+async def test_configuration_never_goes_back(autojump_clock: object, view: View) -> None:
     """Guards against a late row that brings an older version back."""
     put(view, Topic.OPERATOR, "config", _configuration(9), 10)
     put(view, Topic.OPERATOR, "config", _configuration(7, "/old/"), 11)
@@ -31,7 +31,7 @@
     assert view.find_route("a.example", "/old/x") is None
 
 
-async def test_longest_prefix_wins(view: View) -> None:
+async def test_longest_prefix_wins(autojump_clock: object, view: View) -> None:
     """Guards against a shorter route that takes the requests of a longer one."""
     doc = json.loads(_configuration(1))
     doc["Resources"][1]["Spec"]["Prefix"] = "/reads/fees/"
@@ -53,7 +53,7 @@
     ],
 )
 async def test_malformed_entry_names_no_target_and_the_others_hold(
-    view: View, value: bytes
+    autojump_clock: object, view: View, value: bytes
 ) -> None:
     """Guards against entries of other writers that break discovery."""
     put(view, Topic.TARGETS, "i-1", entry_value(), 1)
@@ -61,7 +61,9 @@
     assert [target.entry.id for target in view.targets_of("register")] == ["i-1"]
 
 
-async def test_draining_target_is_used_only_as_owner_and_not_for_long(view: View) -> None:
+async def test_draining_target_is_used_only_as_owner_and_not_for_long(
+    autojump_clock: object, view: View
+) -> None:
     """Guards against requests at a leaving target after 2 s."""
     put(view, Topic.TARGETS, "i-1", entry_value(), 1)
     put(view, Topic.TARGETS, "i-1", entry_value(State="draining"), 2)
@@ -72,7 +74,9 @@
     assert not view.may_use(target, owner=True)
 
 
-async def test_entry_that_lapsed_in_an_outage_is_used_until_it_should_be_back(view: View) -> None:
+async def test_entry_that_lapsed_in_an_outage_is_used_until_it_should_be_back(
+    autojump_clock: object, view: View
+) -> None:
     """Guards against giving up all targets whose entries expired while the store was away."""
     put(view, Topic.TARGETS, "i-1", entry_value(), 1)
     view.store_answered()
@@ -85,7 +89,7 @@
     assert not view.may_use(target, owner=False)
 
 
-async def test_evacuated_domain_gets_no_new_work(view: View) -> None:
+async def test_evacuated_domain_gets_no_new_work(autojump_clock: object, view: View) -> None:
     """Guards against requests in a domain that operators took out."""
     put(view, Topic.TARGETS, "i-1", entry_value(), 1)
     put(view, Topic.OPERATOR, "evacuate/munich", b"{}", 2)
@@ -94,7 +98,9 @@
     assert view.may_use(view.targets["i-1"], owner=False)
 
 
-async def test_rows_missing_from_a_whole_reading_are_gone(view: View) -> None:
+async def test_rows_missing_from_a_whole_reading_are_gone(
+    autojump_clock: object, view: View
+) -> None:
     """Guards against targets that left while the store dropped its history."""
     put(view, Topic.TARGETS, "i-1", entry_value(), 1)
     put(view, Topic.TARGETS, "i-2", entry_value(), 2)
