--- a/tests/test_gateway/conftest.py
+++ b/tests/test_gateway/conftest.py
@@ -122,12 +122,15 @@
 
     :ivar taken: Path and fields of each order, in the order in which it took effect.
     :ivar delays: Seconds until an order of a path takes effect and is answered.
+    :ivar jitter: Seconds that orders take besides, times 0 to 6 by turns.
     :ivar silent: Paths whose orders take effect without an answer.
     :ivar names: Registration of the process at an address.
     """
 
     taken: list[tuple[str, str, dict]] = field(default_factory=list)
     delays: dict[str, float] = field(default_factory=dict)
+    jitter: float = 0.0
+    sent: int = 0
     silent: set[str] = field(default_factory=set)
     names: dict[str, str] = field(default_factory=dict)
 
@@ -160,7 +163,8 @@
             await self._verify(_NamedConnection(log.names.get(self._address, "")))
             self._connected = True
         path = req.target.decode()
-        await trio.sleep(log.delays.get(path, 0.002))
+        log.sent += 1
+        await trio.sleep(log.delays.get(path, 0.002) + log.jitter * (log.sent % 7))
         log.taken.append((self._address, path, json.loads(req.body)))
         if path in log.silent:
             self._connected = False
--- a/tests/test_gateway/test_gateway_coordinator.py
+++ b/tests/test_gateway/test_gateway_coordinator.py
@@ -31,6 +31,8 @@
 
 
 def _start(view: View, log: OrderLog, targets: int) -> None:
+    # Releases end at different moments, so that key maps are written close to each other.
+    log.jitter = 0.003
     put(view, Topic.OPERATOR, "config", json.dumps(CONFIGURATION).encode(), 1)
     for number in range(targets):
         address = f"127.0.0.{number + 1}:9"
