Say that a request may have run whenever its bytes may have gone out; reload on HUP

The sender now notes the moment before the first byte. Processes ended by HUP (exit 129) because the signal had no handler.

--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -4,6 +4,7 @@
 
 import json
 import logging
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 import trio
@@ -87,6 +88,13 @@
         parts["losses"] = self.sender.confirm_losses
         await self._supervisor.run(parts)
 
+    def update_settings(self, cfg: HostSettings) -> None:
+        """Take bounds that have changed; addresses stay those of the start."""
+        decision("reload", changed=cfg.bounds != self.cfg.bounds)
+        self.cfg = replace(self.cfg, bounds=cfg.bounds)
+        self.sender.update_settings(self.cfg)
+        self.coordinator.update_settings(self.cfg)
+
     async def stop(self) -> None:
         """Leave the rotation, finish the requests that run, and return."""
         stop_at = trio.current_time() + self.cfg.bounds.grace - STOP_MARGIN_SECONDS
--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -140,6 +140,10 @@
             if keys.moves
         }
 
+    def update_settings(self, cfg: HostSettings) -> None:
+        """Take bounds that have changed."""
+        self._cfg = cfg
+
     async def run(self) -> None:
         """Lead whenever the lease allows it."""
         while True:
--- a/radishshunt/gateway/exchange.py
+++ b/radishshunt/gateway/exchange.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import h11
 import trio
 
 from radishshunt.errors import RadishshuntError
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 READ_BYTES = 64 * 1024
 # Bodies up to this size fit into the buffers of a connection, so that sending them does not wait.
 SMALL_BODY_BYTES = 16 * 1024
@@ -85,13 +89,18 @@
         self.reusable = False
         self._stream.socket.close()
 
-    async def exchange(self, req: OutgoingRequest) -> Answer:
+    async def exchange(
+        self, req: OutgoingRequest, on_send: Callable[[], None] | None = None
+    ) -> Answer:
         """Send a request and return its whole answer.
 
+        :param on_send: Called right before the first byte is written.
         :raises ExchangeError: If there is no whole answer.
         """
         self.reusable = False
         data = self._encode(self._http, req)
+        if on_send is not None:
+            on_send()
         try:
             if len(req.body) <= SMALL_BODY_BYTES:
                 await self._stream.send_all(data)
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -99,6 +99,13 @@
     refused_by: set[str] = field(default_factory=set)
     not_owner: tuple[str, int] | None = None
 
+    def on_send(self) -> None:
+        """Note that from now on a target may run the request.
+
+        This is noted before the bytes go out, as a cancelled exchange does not say how far it came.
+        """
+        self.sent = True
+
 
 class Sender:
     """Routes requests to targets.
@@ -129,6 +136,11 @@
         self._top: dict[str, int] = {}
         self._top_version = -1
 
+    def update_settings(self, cfg: HostSettings) -> None:
+        """Take bounds that have changed."""
+        self._cfg = cfg
+        self._budgets.clear()
+
     def state(self, target: Target) -> TargetState:
         """Return this host's knowledge of a target."""
         key = f"{target.entry.id}/{target.entry.address}"
@@ -209,7 +221,9 @@
         repeatable = route.kind is RequestKind.IDEMPOTENT
         state.load.sent()
         try:
-            answer = await state.pool.exchange(outgoing, repeatable=repeatable)
+            answer = await state.pool.exchange(
+                outgoing, repeatable=repeatable, on_send=tries.on_send
+            )
             now, started = trio.current_time(), now
             report = self._protocol.load(answer)
             if report is not None:
@@ -217,13 +231,11 @@
         except ExchangeError as exc:
             self._failed(state, now)
             return self._after_failure(req, route, target, tries, exc)
-        except trio.Cancelled:
-            tries.sent = True
-            raise
         finally:
             state.load.ended()
         self._log(req, route, target, tries, answer.status)
         if self._protocol.not_run(answer):
+            tries.sent = bool(tries.targets)
             return await self._after_refusal(answer, target, state, tries, deadline)
         state.failures = 0
         self._quarantine.note_answer(tries.fingerprint, "")
@@ -240,7 +252,6 @@
             if len(tries.refused_by) >= route.max_attempts + 1:
                 raise self._given_up(tries, "no-connection", self.state(target))
             return
-        tries.sent = True
         tries.targets.add(target.entry.id)
         try:
             self._losses.send_nowait(_Loss(target.entry, tries.fingerprint))
--- a/radishshunt/gateway/target_pool.py
+++ b/radishshunt/gateway/target_pool.py
@@ -44,18 +44,23 @@
         self.opened = 0
 
     async def exchange(
-        self, req: OutgoingRequest, *, repeatable: bool, connect_seconds: float = CONNECT_SECONDS
+        self,
+        req: OutgoingRequest,
+        *,
+        repeatable: bool,
+        on_send: Callable[[], None] | None = None,
     ) -> Answer:
         """Send a request and return its whole answer.
 
         The caller limits the time by a cancel scope; a cancelled exchange closes its connection.
 
         :param repeatable: Whether the request may run twice.
+        :param on_send: Called right before the first byte is written.
         :raises ExchangeError: If there is no whole answer.
         """
-        conn = self._take(repeatable) or await self._connect(connect_seconds)
+        conn = self._take(repeatable) or await self._connect(CONNECT_SECONDS)
         try:
-            return await conn.exchange(req)
+            return await conn.exchange(req, on_send)
         finally:
             if conn.reusable:
                 self._idle.append(conn)
--- a/radishshunt/platform/serve.py
+++ b/radishshunt/platform/serve.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import signal
 import sys
@@ -18,35 +19,66 @@
 from radishshunt.platform.store import HttpRowStore
 from radishshunt.platform.target_protocol import HttpTargetProtocol
 
+logger = logging.getLogger(__name__)
+
+# The settings file may change without a signal.
+FILE_CHECK_SECONDS = 2.0
 SETTINGS_VARIABLE = "RADISHSHUNT_CONFIG"
 DEFAULT_SETTINGS = "/etc/radishshunt/settings.conf"
 
 
 def main() -> None:
     """Run the host that the settings file describes until TERM."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS))
     try:
-        cfg = load_host_settings(Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS)))
+        cfg = load_host_settings(path)
     except (SettingsError, OSError) as exc:
         sys.exit(f"radishshunt: {exc}")
     configure(LogFormat.JSON, cfg.name, sys.stdout)
     host = GatewayHost(
         cfg, HttpRowStore(cfg.store), CatalogReader(), HttpTargetProtocol(), READY_PATH
     )
-    trio.run(_run, host)
+    trio.run(_run, host, path)
 
 
-async def _run(host: GatewayHost) -> None:
+async def _run(host: GatewayHost, path: Path) -> None:
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_watch_signals, host, nursery.cancel_scope)
+        nursery.start_soon(_watch_signals, host, path, nursery.cancel_scope)
+        nursery.start_soon(_watch_file, host, path)
         await host.run()
 
 
-async def _watch_signals(host: GatewayHost, scope: trio.CancelScope) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            await host.stop()
-            scope.cancel()
-            return
+async def _watch_signals(host: GatewayHost, path: Path, scope: trio.CancelScope) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                _reload(host, path)
+            else:
+                await host.stop()
+                scope.cancel()
+                return
+
+
+async def _watch_file(host: GatewayHost, path: Path) -> None:
+    """Reload settings that change without a signal."""
+    content = path.read_bytes()
+    while True:
+        await trio.sleep(FILE_CHECK_SECONDS)
+        try:
+            new = path.read_bytes()
+        except OSError as exc:
+            logger.warning("settings file %s: %s", path, exc)
+            continue
+        if new != content:
+            content = new
+            _reload(host, path)
+
+
+def _reload(host: GatewayHost, path: Path) -> None:
+    try:
+        host.update_settings(load_host_settings(path))
+    except (SettingsError, OSError) as exc:
+        logger.warning("the settings in force are kept: %s", exc)
 
 
 if __name__ == "__main__":
