Stop without cutting requests; resize budgets with the number of hosts; tidy connections

After the platform's balancer has taken a stopping host out, it accepts no further connections, ends idle ones and answers those that run. Budgets follow the number of hosts. Connections of targets that are gone are closed.

--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -85,6 +85,7 @@
         parts["link"] = self._link.run
         parts["links"] = self._links.run
         parts["report"] = self._report_own
+        parts["tidy"] = self.sender.tidy
         parts["losses"] = self.sender.confirm_losses
         await self._supervisor.run(parts)
 
@@ -103,7 +104,11 @@
         decision("stop", running=self.front.running)
         await self.leadership.give_up()
         await trio.sleep(OUT_OF_ROTATION_SECONDS)
-        while self.front.running and trio.current_time() < stop_at:
+        await self._callers.stop_accepting()
+        while trio.current_time() < stop_at:
+            self._callers.close_idle()
+            if not self.front.running and not self._callers.open:
+                break
             await trio.sleep(0.05)
 
     def _follower(self, topic: Topic) -> Follower:
@@ -116,6 +121,7 @@
         """Take this host's own load while it leads, and the number of hosts in any case."""
         while True:
             await trio.sleep(NEWS_SECONDS)
+            self.view.forget_gone()
             if self.leadership.valid:
                 self.heat.take(self.sender.report())
                 self.sender.hosts = self._links.hosts
--- a/radishshunt/gateway/front.py
+++ b/radishshunt/gateway/front.py
@@ -72,7 +72,8 @@
         req = self._request(scope, received_at)
         try:
             route = self._route(req)
-            req.body = await self._body(exchange, lease, req.deadline)
+            limit = min(req.deadline, received_at + route.timeout_seconds)
+            req.body = await self._body(exchange, lease, limit)
             answer = await self._answer(req, route)
         except CallerGone:
             decision("caller-gone", request_id=req.attempt_id)
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -38,6 +38,7 @@
 
 # Losses that wait to be looked into, and the time for asking whether a target still listens.
 QUEUED_LOSSES = 256
+TIDY_SECONDS = 2.0
 CONFIRM_SECONDS = 0.3
 # Time for which a request waits for keys that are being moved; a move takes a few hundred
 # milliseconds, as the old owner finishes its work.
@@ -145,7 +146,7 @@
 
     def state(self, target: Target) -> TargetState:
         """Return this host's knowledge of a target."""
-        key = f"{target.entry.id}/{target.entry.address}"
+        key = _state_key(target.entry)
         found = self._states.get(key)
         if found is None:
             found = TargetState(TargetPool(target.entry.address), TargetLoad(target.entry.slots))
@@ -163,6 +164,17 @@
                 state.load.samples = 0
         return Report(self._cfg.name, heat, tuple(work))
 
+    async def tidy(self) -> None:
+        """Close unused connections and forget targets that are gone; run until cancelled."""
+        while True:
+            await trio.sleep(TIDY_SECONDS)
+            known = {_state_key(target.entry) for target in self._view.targets.values()}
+            for key, state in list(self._states.items()):
+                state.pool.prune()
+                if key not in known and not state.load.own:
+                    state.pool.close()
+                    del self._states[key]
+
     async def confirm_losses(self) -> None:
         """Find out which targets ended as they ran a request; run until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -398,12 +410,16 @@
         return (urgent or budget.tokens >= URGENT_RESERVE * budget.capacity) and budget.spend()
 
     def _budget(self, service: Service) -> TokenBudget:
+        """Return this host's part of the budget that all hosts share."""
+        bounds = self._cfg.bounds
+        slack = bounds.retry_slack * BUDGET_PART / self.hosts
         found = self._budgets.get(service.name)
         if found is None:
-            bounds = self._cfg.bounds
             found = self._budgets[service.name] = TokenBudget(
-                bounds.retry_ratio * BUDGET_PART, bounds.retry_slack * BUDGET_PART / self.hosts
+                bounds.retry_ratio * BUDGET_PART, slack
             )
+        elif found.capacity != slack:
+            found.resize(slack)
         return found
 
     def _count(self, service: Service, req: CallerRequest) -> None:
@@ -431,3 +447,7 @@
             status=status,
             error=error,
         )
+
+
+def _state_key(entry: TargetEntry) -> str:
+    return f"{entry.id}/{entry.address}"
--- a/radishshunt/gateway/view.py
+++ b/radishshunt/gateway/view.py
@@ -28,6 +28,8 @@
 ENTRY_RETURN_SECONDS = 2.2
 # A target that left is used for at most this long, under the 2 s that operators demand.
 LEAVING_USE_SECONDS = 1.6
+# Longer than any grant, so that the end of a former owner is still recognised.
+FORGET_SECONDS = 30.0
 # Time since the last answer of the store after which it counts as having been away.
 STORE_AWAY_SECONDS = 2.5
 
@@ -132,6 +134,19 @@
             self.versions[change.topic] = max(self.versions[change.topic], change.version)
             self._notify(change)
 
+    def forget_gone(self) -> None:
+        """Forget targets whose entries have been absent for :data:`FORGET_SECONDS`."""
+        limit = self.clock.now() - FORGET_SECONDS
+        gone = [
+            key
+            for key, target in self.targets.items()
+            if target.gone and (target.leaving_since or 0.0) < limit
+        ]
+        for key in gone:
+            del self.targets[key]
+        if gone:
+            self._index()
+
     def set_moving(self, moving: dict[str, list[tuple[int, int]]]) -> None:
         """Take which keys the leader is moving."""
         if moving != self.moving:
--- a/radishshunt/http_server.py
+++ b/radishshunt/http_server.py
@@ -93,6 +93,7 @@
         self._limit = connections
         self._connections: set[_Connection] = set()
         self._scope = trio.CancelScope()
+        self._accepting = trio.CancelScope()
         self._config = Config()
         self._config.include_server_header = False
         self._config.accesslog = None
@@ -109,7 +110,23 @@
                     int(port), host=ip.strip("[]"), backlog=LISTEN_BACKLOG
                 )
                 task_status.started()
-                await trio.serve_listeners(self._accept, listeners, handler_nursery=nursery)
+                with self._accepting:
+                    await trio.serve_listeners(self._accept, listeners, handler_nursery=nursery)
+
+    @property
+    def open(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    async def stop_accepting(self) -> None:
+        """Refuse further connections; those that are open go on."""
+        self._accepting.cancel()
+        await trio.lowlevel.checkpoint()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun."""
+        for conn in list(self._connections):
+            conn.close_idle()
 
     def abort(self) -> None:
         """End at once: all connections are reset, as the system does for a killed process."""
@@ -255,8 +272,18 @@
         self._receiving = trio.CancelScope()
         self._drain_deadline = float("inf")
         self._ended = False
+        self._serving = False
         self._idle_deadline = trio.current_time() + IDLE_SECONDS
 
+    def close_idle(self) -> None:
+        """End the connection if no request has begun on it."""
+        if (
+            self._serving
+            and self.protocol.stream is None
+            and self.protocol.head_deadline == float("inf")
+        ):
+            self._drain_until(trio.current_time())
+
     def reset(self) -> None:
         """Reset the connection at once."""
         sock = self._transport.socket
@@ -287,6 +314,7 @@
                     self.protocol_send,
                 )
                 self.protocol.owner = self
+                self._serving = True
                 await self._read_data()
         except OSError as exc:
             logger.debug("connection of listener %s: %s", self.http.name, exc)
--- a/radishshunt/policy/budgets.py
+++ b/radishshunt/policy/budgets.py
@@ -32,6 +32,11 @@
         """Tokens that can be saved."""
         return self._max
 
+    def resize(self, max_tokens: float) -> None:
+        """Change the number of tokens that can be saved."""
+        self._max = max_tokens
+        self._tokens = min(self._tokens, max_tokens)
+
     def earn(self) -> None:
         """Count a first attempt."""
         self._tokens = min(self._max, self._tokens + self._ratio)
--- /dev/null
+++ b/tests/test_gateway/test_gateway_stop.py
@@ -0,0 +1,50 @@
+"""Graceful stop of the callers' listener."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from radishshunt.http_server import HttpServer
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+GET = b"GET / HTTP/1.1\r\nHost: a.example\r\n\r\n"
+
+
+async def _slow_app(scope: Any, receive: Any, send: Any) -> None:
+    await trio.sleep(0.3)
+    headers = [(b"content-length", b"2")]
+    await send({"type": "http.response.start", "status": 200, "headers": headers})
+    await send({"type": "http.response.body", "body": b"ok", "more_body": False})
+
+
+async def test_idle_connections_close_and_a_running_request_is_answered(
+    loopback: Callable[[], str],
+) -> None:
+    """Guards against a planned stop that cuts a request, or waits for idle callers."""
+    address = loopback()
+    ip, _, port = address.rpartition(":")
+    server = HttpServer(_slow_app, address, name="callers")
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.run)
+        idle = await trio.open_tcp_stream(ip, int(port))
+        busy = await trio.open_tcp_stream(ip, int(port))
+        await busy.send_all(GET)
+        await trio.sleep(0.1)
+        server.leaving = True
+        await server.stop_accepting()
+        server.close_idle()
+        with trio.fail_after(2):
+            assert await idle.receive_some() == b""
+            answer = b""
+            while data := await busy.receive_some():
+                answer += data
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert answer.endswith(b"ok")
+        with trio.fail_after(1):
+            while server.open:
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
