Let requests wait at the host in order of urgency; keep what is known of grants between terms

Ranges now name the owner's address, a host that leads again keeps what it knew, orders reach targets that close each connection, and a troubled lease makes grants last at once. Requests no longer wait in the queue of a target, where they are lost when their key moves; uploads and fees go before reads.

--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -16,7 +16,7 @@
     split_ranges,
 )
 from radishshunt.gateway.leadership import LeaseLost
-from radishshunt.gateway.model import KeyMap, KeyRange
+from radishshunt.gateway.model import KeyMap, KeyRange, TargetEntry
 from radishshunt.gateway.orders import (
     CLOCK_FACTOR,
     HOLD_SECONDS,
@@ -32,7 +32,7 @@
 if TYPE_CHECKING:
     from radishshunt.clock import Clock
     from radishshunt.gateway.leadership import Leadership
-    from radishshunt.gateway.model import Service, TargetEntry
+    from radishshunt.gateway.model import Service
     from radishshunt.gateway.protocol import TargetProtocol
     from radishshunt.gateway.settings import HostSettings
     from radishshunt.gateway.view import Target, View
@@ -41,6 +41,7 @@
 
 DEFAULT_HEALTH_PATH = "/healthz"
 PLAN_SECONDS = 0.2
+WATCH_SECONDS = 0.1
 # At the first start, targets register within this time of each other.
 FIRST_PLAN_SECONDS = 1.5
 # Keys are first divided when no target has registered for this many heartbeats.
@@ -129,6 +130,7 @@
         self._orders: dict[tuple[str, int], TargetOrders] = {}
         self._nursery: trio.Nursery | None = None
         self._started_at = 0.0
+        self._trouble = trio.Event()
         self._first_seen: dict[str, tuple[int, float]] = {}
 
     @property
@@ -164,13 +166,20 @@
     def _end_term(self) -> None:
         for orders in self._orders.values():
             orders.close()
-        self._orders.clear()
-        self._services.clear()
         self._nursery = None
 
     async def _lead(self, nursery: trio.Nursery) -> None:
         self._nursery = nursery
+        await self._leadership.read_rows()
         self._started_at = self._clock.now()
+        self._trouble = trio.Event()
+        known = self._orders if self._leadership.resumed else {}
+        self._orders = {}
+        self._services = {}
+        for key, orders in known.items():
+            self._orders[key] = orders
+            nursery.start_soon(self._keep_grants, orders)
+        nursery.start_soon(self._watch_lease)
         longest = self._cfg.bounds.hold_max * CLOCK_FACTOR + 0.5
         held_until = self._started_at + longest
         for name, index in self._view.key_maps.items():
@@ -179,18 +188,34 @@
             keys.reserved_fence = index.key_map.next_fence + TERM_FENCE_GAP
             self._services[name] = keys
             for item in index.key_map.ranges:
-                self._adopt(item, held_until)
+                self._adopt(item, name, held_until)
         while True:
             self._plan()
             self._view.set_moving(self.moving)
             await trio.sleep(PLAN_SECONDS)
 
-    def _adopt(self, item: KeyRange, held_until: float) -> None:
-        """Take a range that an earlier leader granted."""
-        target = self._view.targets.get(item.target)
-        if target is None or target.entry.life != item.life:
+    async def _watch_lease(self) -> None:
+        """Wake the renewals when the store stops renewing the lease."""
+        while True:
+            if self._leadership.troubled:
+                decision("lease-troubled", term=self._leadership.term)
+                self._trouble.set()
+                while self._leadership.troubled:
+                    await trio.sleep(WATCH_SECONDS)
+                self._trouble = trio.Event()
+            await trio.sleep(WATCH_SECONDS)
+
+    def _adopt(self, item: KeyRange, service: str, held_until: float) -> None:
+        """Take a range that an earlier leader granted, or this host in its last term."""
+        orders = self._orders.get((item.target, item.life))
+        if orders is not None and orders.covers(item.first, item.last):
             return
-        self._orders_for(target.entry).adopt(item, held_until)
+        target = self._view.targets.get(item.target)
+        if target is not None and target.entry.life == item.life:
+            entry = target.entry
+        else:
+            entry = TargetEntry(item.target, item.life, service, item.address, "", 1, True, 0.0)
+        self._orders_for(entry).adopt(item, held_until)
 
     def _orders_for(self, entry: TargetEntry) -> TargetOrders:
         key = (entry.id, entry.life)
@@ -216,7 +241,7 @@
     async def _keep_grants(self, orders: TargetOrders) -> None:
         """Renew a target's grants."""
         while not orders.ended:
-            silent = self._view.store_age > STORE_SILENT_SECONDS
+            silent = self._leadership.troubled or self._view.store_age > STORE_SILENT_SECONDS
             seconds = LONG_HOLD_SECONDS if silent else HOLD_SECONDS
             seconds = min(seconds, self._cfg.bounds.hold_max)
             try:
@@ -224,7 +249,12 @@
             except FenceTooLow as exc:
                 decision("fence-too-low", target=orders.entry.id, fence=exc.fence)
                 self._regrant(orders)
-            await trio.sleep(RENEW_SECONDS)
+            trouble = self._trouble
+            if trouble.is_set():
+                await trio.sleep(RENEW_SECONDS)
+                continue
+            with trio.move_on_after(RENEW_SECONDS):
+                await trouble.wait()
 
     def _regrant(self, orders: TargetOrders) -> None:
         """Give a target its keys anew with higher fencing tokens."""
@@ -402,11 +432,9 @@
         if orders is not None and orders.ended:
             return True
         target = self._view.targets.get(owner.target)
-        if target is None:
-            return False
-        if target.entry.life > owner.life:
+        if target is not None and target.entry.life > owner.life:
             return True
-        address = target.entry.address
+        address = owner.address
         return any(
             other.entry.address == address
             and other.entry.id != owner.target
@@ -448,7 +476,8 @@
         for move in ready:
             target = self._view.targets.get(move.to)
             life = target.entry.life if target else 0
-            item = KeyRange(move.first, move.last, move.to, life, keys.draw_fence())
+            address = target.entry.address if target else ""
+            item = KeyRange(move.first, move.last, move.to, life, keys.draw_fence(), address)
             granted.append((item, move))
         return granted
 
--- a/radishshunt/gateway/key_maps.py
+++ b/radishshunt/gateway/key_maps.py
@@ -4,6 +4,7 @@
 
 import json
 from bisect import bisect_right
+from dataclasses import replace
 
 from radishshunt.errors import ProtocolError
 from radishshunt.gateway.model import LAST_KEY, KeyMap, KeyRange
@@ -14,7 +15,7 @@
 
 def encode_key_map(key_map: KeyMap) -> bytes:
     """Return a key map as the value of a row."""
-    ranges = [[r.first, r.last, r.target, r.life, r.fence] for r in key_map.ranges]
+    ranges = [[r.first, r.last, r.target, r.life, r.fence, r.address] for r in key_map.ranges]
     return json.dumps(
         {"next_fence": key_map.next_fence, "ranges": ranges}, separators=(",", ":")
     ).encode()
@@ -61,5 +62,5 @@
         inner = [cut for cut in (first, last + 1) if item.first < cut <= item.last]
         borders = [item.first, *inner, item.last + 1]
         for start, end in zip(borders, borders[1:], strict=False):
-            result.append(KeyRange(start, end - 1, item.target, item.life, item.fence))
+            result.append(replace(item, first=start, last=end - 1))
     return result
--- a/radishshunt/gateway/leadership.py
+++ b/radishshunt/gateway/leadership.py
@@ -27,6 +27,8 @@
 # The leader stops this much earlier, counted from when it sent its last renewal.
 LEASE_MARGIN_SECONDS = 0.4
 RENEW_SECONDS = 0.8
+# A lease that ends this soon was not renewed in time.
+TROUBLE_SECONDS = 0.8
 RETRY_SECONDS = 0.2
 WATCH_SECONDS = 0.1
 # Hosts that see the lease expire do not all write at once.
@@ -41,12 +43,15 @@
     """Owns this host's part in the lease.
 
     :ivar term: Random text of this host's term; empty while it does not lead.
+    :ivar resumed: Whether no other host has led since this host's last term.
     """
 
     def __init__(
         self, cfg: HostSettings, view: View, store: RowStore, rng: Random | None = None
     ) -> None:
         self.term = ""
+        self.resumed = False
+        self._last_term = ""
         self._cfg = cfg
         self._view = view
         self._store = store
@@ -61,6 +66,11 @@
         """Whether this host leads at this moment."""
         return bool(self.term) and self._view.clock.now() < self._valid_until
 
+    @property
+    def troubled(self) -> bool:
+        """Whether the lease is about to end since the store does not renew it."""
+        return self.valid and self._view.clock.now() > self._valid_until - TROUBLE_SECONDS
+
     async def wait_for_term(self) -> None:
         """Return once this host leads."""
         delay = self._rng.uniform(0, TAKEOVER_SPREAD_SECONDS)
@@ -90,6 +100,20 @@
         decision("lease-lost", term=self.term)
         self.term = ""
 
+    async def read_rows(self) -> None:
+        """Read this system's own rows anew.
+
+        Writes of earlier terms that were still on their way fail from now on, since they check
+        the version of the leader's row.
+        """
+        while True:
+            try:
+                self._view.apply(await self._store.read(Topic.OWN))
+                return
+            except (PlatformUnavailable, ProtocolError) as exc:
+                logger.info("reading the rows of the term failed: %s", exc)
+                await trio.sleep(RETRY_SECONDS)
+
     async def commit(self, checks: dict[str, int], writes: list[tuple[str, bytes]]) -> Commit:
         """Write rows under the lease.
 
@@ -144,7 +168,8 @@
                     self._view.apply(Change(Topic.OWN, (row,), 0, whole=False))
                 return False
             version = row.version
-        self.term = term
+        self.resumed = bool(self._last_term) and self._view.leader.term == self._last_term
+        self.term = self._last_term = term
         self._version = version
         self._valid_until = sent_at + LEASE_SECONDS - LEASE_MARGIN_SECONDS
         decision("lease", term=term, version=version)
--- a/radishshunt/gateway/model.py
+++ b/radishshunt/gateway/model.py
@@ -115,6 +115,7 @@
     :param target: Registration of the owner, empty if nobody holds the keys.
     :param life: Start of the owner's process.
     :param fence: Fencing token of the grant.
+    :param address: Where the owner was, for a leader that no longer finds its entry.
     """
 
     first: int
@@ -122,6 +123,7 @@
     target: str
     life: int
     fence: int
+    address: str = ""
 
     def __contains__(self, key: int) -> bool:
         return self.first <= key <= self.last
--- a/radishshunt/gateway/orders.py
+++ b/radishshunt/gateway/orders.py
@@ -34,6 +34,8 @@
 ORDER_SECONDS = 0.6
 # A release is answered when the work on its keys has ended.
 RELEASE_SECONDS = 2.5
+# An identity check holds for a connection that is opened this soon after it.
+VERIFIED_SECONDS = 0.25
 OK = 200
 CONFLICT = 409
 
@@ -75,6 +77,10 @@
     handover: str = ""
 
 
+class ConnectionEnded(ExchangeError):
+    """The target closed a connection right after it had named itself."""
+
+
 class FenceTooLow(Exception):
     """The target has seen a higher fencing token on some of the keys.
 
@@ -105,6 +111,7 @@
         self.entry = entry
         self.ended = False
         self._health_path = health_path
+        self._verified_at = float("-inf")
         self.failing_since: float | None = None
         self.held: dict[tuple[int, int], Held] = {}
         self._protocol = protocol
@@ -117,6 +124,12 @@
         """Take a range that an earlier leader may have granted until a moment."""
         self.held[keys.first, keys.last] = Held(keys, HoldTimes(until, until))
 
+    def covers(self, first: int, last: int) -> bool:
+        """Return whether the keys are among the ranges that are renewed."""
+        return any(
+            held.keys.first <= first and last <= held.keys.last for held in self.held.values()
+        )
+
     def close(self) -> None:
         """Close the connections."""
         self._pool.close()
@@ -205,18 +218,26 @@
         were meant for the earlier one.
         """
         check = self._protocol.identity_check(self.entry.address, self._health_path)
+        now = self._clock.now()
+        if now < self._verified_at + VERIFIED_SECONDS:
+            return
         name = self._protocol.identity(await conn.exchange(check))
         if name != self.entry.id:
             self.ended = bool(name)
             raise ExchangeError(f"the process at the address is {name or 'unnamed'}", sent=False)
         if not conn.reusable:
-            raise ExchangeError("connection closed after the identity check", sent=False)
+            # A leaving target closes each connection after one answer.
+            self._verified_at = now
+            raise ConnectionEnded("connection closed after the identity check", sent=False)
 
     async def _send(self, order: OutgoingRequest, seconds: float) -> Answer | None:
         """Send an order; ``None`` means that nobody knows whether it takes effect."""
         try:
             with trio.move_on_after(seconds):
-                answer = await self._pool.exchange(order, repeatable=True)
+                try:
+                    answer = await self._pool.exchange(order, repeatable=True)
+                except ConnectionEnded:
+                    answer = await self._pool.exchange(order, repeatable=True)
                 self.failing_since = None
                 return answer
             error = f"no answer within {seconds} s"
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -20,6 +20,7 @@
 from radishshunt.logs import decision
 from radishshunt.policy.budgets import TokenBudget
 from radishshunt.policy.direct.cold_rate import ColdRate
+from radishshunt.policy.direct.lane import Lane
 from radishshunt.policy.direct.refusal import may_offer, retry_after
 from radishshunt.policy.direct.target_load import TargetLoad
 from radishshunt.quarantine import DEATHS_REFUSED
@@ -57,6 +58,10 @@
 # A hop to a target and back takes a few milliseconds.
 HOP_SECONDS = 0.01
 MIN_OFFER_SECONDS = 0.03
+# Waiting requests look again for room this often.
+LANE_POLL_SECONDS = 0.02
+# A waiting request is given up when less than this part of a target's mean work time is left.
+LATE_SHARE = 0.6
 # Times that one request is sent, those that targets turned away included.
 MAX_ARRIVALS = 4
 # Failures in a row after which a target without keys is avoided, and for how long.
@@ -73,6 +78,7 @@
 
     pool: TargetPool
     load: TargetLoad
+    lane: Lane = field(default_factory=Lane)
     cold: ColdRate = field(default_factory=ColdRate)
     failures: int = 0
     avoid_until: float = float("-inf")
@@ -303,9 +309,46 @@
     async def _choose(
         self, req: CallerRequest, route: Route, service: Service, tries: Tries, deadline: float
     ) -> Target:
-        if service.keyed and req.key is not None:
-            return await self._owner(req, route, service, tries, deadline)
-        return self._least_loaded(req, route, service, tries, deadline)
+        """Return a target that has room, waiting for it in the order of the requests' urgency."""
+        while True:
+            if service.keyed and req.key is not None:
+                target = await self._owner(req, route, service, tries, deadline)
+            else:
+                target = self._least_loaded(req, route, service, tries, deadline)
+            state = self.state(target)
+            place = state.lane.join(route.priority, deadline)
+            try:
+                if self._may_go(state, place):
+                    self._take_cold(target, service, state, tries)
+                    return target
+                changed = self._view.changed
+                while not self._may_go(state, place) and not changed.is_set():
+                    await trio.sleep(LANE_POLL_SECONDS)
+                    if deadline - trio.current_time() < state.load.work_seconds * LATE_SHARE:
+                        raise self._given_up(tries, "overload", state)
+                if self._may_go(state, place) and not changed.is_set():
+                    self._take_cold(target, service, state, tries)
+                    return target
+            finally:
+                state.lane.leave(place)
+
+    def _may_go(self, state: TargetState, place: tuple[int, float, int]) -> bool:
+        load = state.load
+        return state.lane.may_go(place, load.occupancy(trio.current_time()), load.slots, load.own)
+
+    def _take_cold(
+        self, target: Target, service: Service, state: TargetState, tries: Tries
+    ) -> None:
+        """Count a request at a cold target.
+
+        :raises NotRun: If the target must not get another one now.
+        """
+        if not self._view.is_cold(target) or not service.cold_per_second:
+            return
+        bounds = self._cfg.bounds
+        limit = service.cold_per_second * bounds.cold_multiplier + bounds.cold_slack
+        if not state.cold.allows(limit, self.hosts, trio.current_time()):
+            raise self._given_up(tries, "cold", state)
 
     async def _owner(
         self, req: CallerRequest, route: Route, service: Service, tries: Tries, deadline: float
@@ -365,17 +408,11 @@
         now = trio.current_time()
         state = self.state(target)
         load = state.load
-        if self._view.is_cold(target) and service.cold_per_second:
-            bounds = self._cfg.bounds
-            limit = service.cold_per_second * bounds.cold_multiplier + bounds.cold_slack
-            if not state.cold.allows(limit, self.hosts, now):
-                return False
+        ahead = state.lane.ahead(route.priority, deadline)
         return may_offer(
-            load.expected_wait(now),
+            load.expected_wait(now) + ahead * load.work_seconds / load.slots,
             load.work_seconds,
             deadline - now - HOP_SECONDS,
-            load.occupancy(now),
-            load.slots,
             urgent=route.priority <= self._top_priority(service),
         )
 
--- a/radishshunt/policy/direct/refusal.py
+++ b/radishshunt/policy/direct/refusal.py
@@ -16,8 +16,6 @@
 # the others. The rest is for the work itself.
 URGENT_WAIT_SHARE = 0.7
 OTHER_WAIT_SHARE = 0.45
-# Requests beyond the slots that a target may hold before it is taken as full.
-QUEUE_LIMIT = 9
 # Bounds of the time after which a refused caller may come back.
 SHORTEST_RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 1.0
@@ -25,18 +23,15 @@
 RETRY_SPREAD = 0.6
 
 
-def may_offer(
-    wait: float, work: float, left: float, occupancy: float, slots: int, *, urgent: bool
-) -> bool:
+def may_offer(wait: float, work: float, left: float, *, urgent: bool) -> bool:
     """Return whether a request can be answered in time.
 
-    :param wait: Expected seconds in the target's queue.
+    :param wait: Expected seconds until a target begins it.
     :param work: Expected seconds of work.
     :param left: Seconds until the request's deadline.
-    :param occupancy: Requests at the target.
     :param urgent: Whether no kind of its service is more urgent.
     """
-    if left <= 0 or occupancy >= slots + QUEUE_LIMIT:
+    if left <= 0:
         return False
     if wait <= 0:
         return True
