--- /dev/null
+++ b/tests/test_gateway/test_gateway_whole_path.py
@@ -0,0 +1,95 @@
+"""Hosts, store and targets on loopback, from a caller's request to its answer."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import httpx
+import trio
+
+from radishshunt.gateway.app import GatewayHost
+from radishshunt.gateway.settings import HostSettings
+from radishshunt.platform.catalog import CatalogReader
+from radishshunt.platform.names import READY_PATH
+from radishshunt.platform.standin import StandInStore, StandInTarget
+from radishshunt.platform.store import HttpRowStore
+from radishshunt.platform.target_protocol import HttpTargetProtocol
+from tests.test_gateway.conftest import CONFIGURATION
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+TARGETS = 3
+HOSTS = 2
+READY_SECONDS = 15.0
+
+
+def _host(number: int, address: Callable[[], str], store: str) -> GatewayHost:
+    callers, ready = address(), address()
+    cfg = HostSettings(
+        name=f"edge-{number}",
+        ip=callers.partition(":")[0],
+        domain="munich",
+        callers=callers,
+        ready=ready,
+        inner_port=7660,
+        metrics_port=7661,
+        store=store,
+    )
+    return GatewayHost(cfg, HttpRowStore(store), CatalogReader(), HttpTargetProtocol(), READY_PATH)
+
+
+async def _get(host: GatewayHost, key: int, number: int) -> httpx.Response:
+    headers = {
+        "Host": "a.example",
+        "X-Radishshunt-Attempt-Id": f"attempt-{number}",
+        "X-Radishshunt-Deadline-Ms": "900",
+        "X-Radishshunt-Shard-Key": str(key),
+    }
+    async with httpx.AsyncClient(trust_env=False) as client:
+        return await client.get(f"http://{host.cfg.callers}/reads/x?y=1", headers=headers)
+
+
+async def _until_served(host: GatewayHost) -> None:
+    with trio.fail_after(READY_SECONDS):
+        while True:
+            try:
+                if (await _get(host, 40_000, 0)).status_code == 200:
+                    return
+            except httpx.TransportError:
+                pass
+            await trio.sleep(0.1)
+
+
+async def test_requests_reach_the_owners_through_every_host_also_without_the_store(
+    loopback: Callable[[], str],
+) -> None:
+    """Guards against a path that works in its parts only, and against needing the store."""
+    store = StandInStore(loopback())
+    targets = [
+        StandInTarget(f"i-{number}", loopback(), "register", "munich") for number in range(TARGETS)
+    ]
+    async with trio.open_nursery() as nursery:
+        await nursery.start(store.server.run)
+        for target in targets:
+            await nursery.start(target.server.run)
+            store.put("servers", target.id, target.entry())
+        store.put("op", "config", CONFIGURATION)
+        hosts = [_host(n, loopback, store.server._address) for n in range(HOSTS)]
+        for host in hosts:
+            nursery.start_soon(host.run)
+        for host in hosts:
+            await _until_served(host)
+        keys = range(0, 65_536, 4_096)
+        for number, key in enumerate(keys, 1):
+            resp = await _get(hosts[number % HOSTS], key, number)
+            assert resp.status_code == 200
+            assert resp.headers["X-Radishshunt-Server-Signature"] == "signed"
+            assert resp.headers["X-Radishshunt-Attempt-Id"] == f"attempt-{number}"
+        ran = [name for target in targets for name in target.ran if name != "attempt-0"]
+        assert sorted(ran) == sorted(f"attempt-{number}" for number in range(1, len(keys) + 1))
+        assert all(target.ran for target in targets)
+        store.down = True
+        await trio.sleep(2.0)
+        assert (await _get(hosts[0], 40_000, 99)).status_code == 200
+        nursery.cancel_scope.cancel()
