--- a/radishshunt/logs.py
+++ b/radishshunt/logs.py
@@ -5,6 +5,7 @@
 import json
 import logging
 import sys
+import time
 from datetime import UTC, datetime
 from enum import Enum
 from typing import Any, TextIO
@@ -12,6 +13,8 @@
 import eliot
 from eliot.stdlib import EliotHandler
 
+from radishshunt.util.bounded_writer import BoundedWriter
+
 
 class LogFormat(Enum):
     """How log lines are written."""
@@ -33,6 +36,21 @@
         eliot.to_file(stream)
     else:
         eliot.add_destinations(lambda message: stream.write(format_line(message)))
+    _pass_standard_logs_on()
+
+
+def configure_bounded(host: str, descriptor: int) -> None:
+    """Write all log lines as JSON without ever waiting for their reader.
+
+    :param host: Name of the host, added to every line.
+    :param descriptor: Open file descriptor, for example that of standard output.
+    """
+    eliot.add_global_fields(host=host)
+    eliot.add_destinations(BoundedWriter(descriptor, time.time))
+    _pass_standard_logs_on()
+
+
+def _pass_standard_logs_on() -> None:
     root = logging.getLogger("radishshunt")
     root.addHandler(EliotHandler())
     root.setLevel(logging.INFO)
