--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -5,6 +5,7 @@
 import logging
 import math
 from dataclasses import dataclass, field
+from itertools import groupby
 from typing import TYPE_CHECKING
 
 import trio
@@ -14,6 +15,7 @@
     KEY_MAP_PREFIX,
     encode_key_map,
     split_ranges,
+    subtract,
 )
 from radishshunt.gateway.leadership import LeaseLost
 from radishshunt.gateway.model import KeyMap, KeyRange, TargetEntry
@@ -42,6 +44,10 @@
 DEFAULT_HEALTH_PATH = "/healthz"
 PLAN_SECONDS = 0.2
 WATCH_SECONDS = 0.1
+# Ranges for each target beyond which neighbouring ranges of one owner are joined, and the runs
+# that one round joins.
+RANGES_PER_TARGET = 3
+MAX_MERGES = 8
 # At the first start, targets register within this time of each other.
 FIRST_PLAN_SECONDS = 1.5
 # Keys are first divided when no target has registered for this many heartbeats.
@@ -301,24 +307,31 @@
     def _plan_service(self, service: Service, keys: ServiceKeys) -> None:
         holders = self._holders(service)
         heat = self._heat.heat(service.name)
-        ranges = list(keys.key_map.ranges)
         for move in keys.moves:
-            ranges = [
-                item
-                for item in split_ranges(ranges, move.first, move.last)
-                if not (move.first <= item.first and item.last <= move.last)
-            ]
             if move.to in holders:
                 holders[move.to].load += heat.load(move.first, move.last)
+        ranges = subtract(keys.key_map.ranges, ((m.first, m.last) for m in keys.moves))
         for item in ranges:
             entry = self._view.targets.get(item.target)
             if item.target in holders and (entry is None or entry.entry.life != item.life):
                 # The target has started anew and holds nothing.
                 self._start_move(item, item.target, "")
-        moving = {(m.first, m.last) for m in keys.moves}
-        ranges = [item for item in ranges if (item.first, item.last) not in moving]
+        ranges = subtract(ranges, ((m.first, m.last) for m in keys.moves))
         for move in plan_moves(ranges, holders, heat):
             self._begin(service.name, keys, move)
+        if len(keys.key_map.ranges) > RANGES_PER_TARGET * max(1, len(holders)):
+            self._merge(service.name, keys)
+
+    def _merge(self, service: str, keys: ServiceKeys) -> None:
+        """Join neighbouring ranges of one owner, so that renewals stay few."""
+        ranges = subtract(keys.key_map.ranges, ((m.first, m.last) for m in keys.moves))
+        runs = 0
+        for (target, life), group in groupby(ranges, key=lambda r: (r.target, r.life)):
+            run = list(group)
+            whole = run[-1].last - run[0].first + 1 == sum(r.last - r.first + 1 for r in run)
+            if len(run) > 1 and whole and (target, life) in self._orders and runs < MAX_MERGES:
+                runs += 1
+                self._begin(service, keys, Move(run[0].first, run[-1].last, target, target))
 
     def _holders(self, service: Service) -> dict[str, Holder]:
         holders = {}
@@ -396,11 +409,21 @@
             if move.first <= item.first and item.last <= move.last
         ]
         for owner in owners:
+            if owner.target == move.to and self._cut_for_regrant(owner):
+                continue
             handover = await self._free_range(keys, owner)
             move.handover = handover if len(owners) == 1 else ""
         keys.ready.append(move)
         self._spawn_commit(move.service)
 
+    def _cut_for_regrant(self, owner: KeyRange) -> bool:
+        """Take keys out of the renewals of a target that keeps them under a higher token."""
+        target = self._view.targets.get(owner.target)
+        if target is None or target.entry.life != owner.life:
+            return False
+        orders = self._orders.get((owner.target, owner.life))
+        return orders is not None and orders.cut(owner.first, owner.last) is not None
+
     async def _free_range(self, keys: ServiceKeys, owner: KeyRange) -> str:
         orders = self._orders.get((owner.target, owner.life))
         if orders is None:
--- a/radishshunt/gateway/key_maps.py
+++ b/radishshunt/gateway/key_maps.py
@@ -5,10 +5,14 @@
 import json
 from bisect import bisect_right
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from radishshunt.errors import ProtocolError
 from radishshunt.gateway.model import LAST_KEY, KeyMap, KeyRange
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 # Prefix of the rows that hold key maps; the service's name follows.
 KEY_MAP_PREFIX = "keys/"
 
@@ -59,8 +63,37 @@
     """Return ranges cut so that ``first`` to ``last`` begins and ends at a border."""
     result = []
     for item in ranges:
+        if last < item.first or item.last < first or first <= item.first <= item.last <= last:
+            result.append(item)
+            continue
         inner = [cut for cut in (first, last + 1) if item.first < cut <= item.last]
         borders = [item.first, *inner, item.last + 1]
         for start, end in zip(borders, borders[1:], strict=False):
             result.append(replace(item, first=start, last=end - 1))
     return result
+
+
+def subtract(ranges: Iterable[KeyRange], pieces: Iterable[tuple[int, int]]) -> list[KeyRange]:
+    """Return the parts of ranges that no piece covers.
+
+    :param ranges: In ascending order.
+    :param pieces: First and last key of each piece; they do not overlap.
+    """
+    cuts = sorted(pieces)
+    result = []
+    at = 0
+    for item in ranges:
+        first = item.first
+        while at < len(cuts) and cuts[at][1] < first:
+            at += 1
+        number = at
+        while number < len(cuts) and cuts[number][0] <= item.last:
+            if first < cuts[number][0]:
+                result.append(replace(item, first=first, last=cuts[number][0] - 1))
+            first = cuts[number][1] + 1
+            number += 1
+        if first == item.first:
+            result.append(item)
+        elif first <= item.last:
+            result.append(replace(item, first=first))
+    return result
--- a/radishshunt/placement/key_ranges.py
+++ b/radishshunt/placement/key_ranges.py
@@ -149,10 +149,14 @@
     accepting = [holder for holder in holders.values() if holder.accepts]
     if not accepting:
         return moves
+    parts: dict[str, float] = {}
+    for first, last, source in orphans:
+        parts[source] = parts.get(source, 0.0) + heat.load(first, last) / ORPHAN_PARTS
     for first, last, source in orphans:
-        part = heat.load(first, last) / ORPHAN_PARTS
         while first <= last:
-            end = heat.cut(first, last, part) if last > first else last
+            # Small ranges move whole, so that losses do not leave ever more ranges behind.
+            whole = heat.load(first, last) <= 1.5 * parts[source]
+            end = last if whole else heat.cut(first, last, parts[source])
             load = heat.load(first, end)
             holder = min(accepting, key=lambda h: _cost(h, load))
             holder.load += load
