--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -214,7 +214,10 @@
     def _adopt(self, item: KeyRange, service: str, held_until: float) -> None:
         """Take a range that an earlier leader granted, or this host in its last term."""
         orders = self._orders.get((item.target, item.life))
-        if orders is not None and orders.covers(item.first, item.last):
+        if orders is not None:
+            # From this host's last term, since which nobody else has granted anything.
+            if not orders.covers(item.first, item.last):
+                orders.adopt(item, orders.bound)
             return
         target = self._view.targets.get(item.target)
         if target is not None and target.entry.life == item.life:
--- a/radishshunt/gateway/orders.py
+++ b/radishshunt/gateway/orders.py
@@ -97,6 +97,7 @@
 
     :param may_order: Whether this host still leads.
     :ivar ended: Whether another process has been found at the target's address.
+    :ivar bound: Moment until which the target may hold any keys by what this host knows.
     :ivar failing_since: Moment of the first failure in a row, ``None`` after a success.
     """
 
@@ -110,6 +111,7 @@
     ) -> None:
         self.entry = entry
         self.ended = False
+        self.bound = float("-inf")
         self._health_path = health_path
         self._verified_at = float("-inf")
         self.failing_since: float | None = None
@@ -122,6 +124,7 @@
 
     def adopt(self, keys: KeyRange, until: float) -> None:
         """Take a range that an earlier leader may have granted until a moment."""
+        self.bound = max(self.bound, until)
         self.held[keys.first, keys.last] = Held(keys, HoldTimes(until, until))
 
     def covers(self, first: int, last: int) -> bool:
@@ -201,11 +204,11 @@
         order = self._protocol.grant(self.entry.address, held.keys, seconds, handover)
         lasts = seconds * CLOCK_FACTOR + TRAVEL_SECONDS
         times.until = max(times.until, self._clock.now() + ORDER_SECONDS + lasts)
+        self.bound = max(self.bound, times.until)
         answer = await self._send(order, ORDER_SECONDS)
-        ended_at = self._clock.now()
         if answer is None:
-            times.late_until = ended_at + lasts
-            times.until = max(times.until, ended_at + lasts)
+            # The order may have arrived as late as the moment at which it was given up.
+            times.late_until = max(times.late_until, times.until)
             return False
         if answer.status == CONFLICT:
             raise FenceTooLow(held.keys.fence)
