--- a/tests/test_gateway/test_gateway_coordinator.py
+++ b/tests/test_gateway/test_gateway_coordinator.py
@@ -9,10 +9,10 @@
 
 from radishshunt.gateway.coordinator import Coordinator
 from radishshunt.gateway.heat import MeasuredHeat
-from radishshunt.gateway.key_maps import KEY_MAP_PREFIX, decode_key_map
+from radishshunt.gateway.key_maps import KEY_MAP_PREFIX, decode_key_map, encode_key_map
 from radishshunt.gateway.leadership import Leadership
 from radishshunt.gateway.messages import Report
-from radishshunt.gateway.model import LAST_KEY
+from radishshunt.gateway.model import LAST_KEY, KeyMap, KeyRange
 from radishshunt.gateway.rows import Topic
 from radishshunt.platform.target_protocol import HttpTargetProtocol
 from tests.test_gateway.conftest import CONFIGURATION, entry_value, put
@@ -125,3 +125,74 @@
             await trio.sleep(0.05)
         assert trio.current_time() - last_grant >= 4.5 - 1.0
         nursery.cancel_scope.cancel()
+
+
+async def test_neighbouring_ranges_of_one_owner_are_joined_without_a_release(
+    autojump_clock: object,
+    view: View,
+    store: MemoryStore,
+    cfg: HostSettings,
+    order_log: OrderLog,
+) -> None:
+    """Guards against renewals of ever more ranges, under which the leader falls behind."""
+    coordinator = _coordinator(view, store, cfg, MeasuredHeat(view.clock))
+    _start(view, order_log, 4)
+    size = 256
+    ranges = tuple(
+        KeyRange(first, first + size - 1, f"i-{first // 16_384}", 1, 1, f"127.0.0.{n}:9")
+        for first in range(0, LAST_KEY + 1, size)
+        for n in [first // 16_384 + 1]
+    )
+    await store.commit({}, [(ROW, encode_key_map(KeyMap(ranges, 2)))])
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow, view, store)
+        nursery.start_soon(coordinator.run)
+        await trio.sleep(6.0)
+        assert len(decode_key_map(store.rows[ROW].value).ranges) <= 4 * 3
+        _assert_one_owner_each(store, order_log, 4)
+        assert order_log.fences("release") == []
+        nursery.cancel_scope.cancel()
+
+
+async def test_owners_of_an_earlier_leader_are_waited_for_even_without_their_entries(
+    autojump_clock: object,
+    view: View,
+    store: MemoryStore,
+    cfg: HostSettings,
+    order_log: OrderLog,
+) -> None:
+    """Guards against giving keys away that a target cut off from the store still serves."""
+    coordinator = _coordinator(view, store, cfg, MeasuredHeat(view.clock))
+    _start(view, order_log, 2)
+    ranges = (KeyRange(0, LAST_KEY, "i-9", 1, 1, "127.0.0.99:9"),)
+    await store.commit({}, [(ROW, encode_key_map(KeyMap(ranges, 2)))])
+    order_log.names["127.0.0.99:9"] = ""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow, view, store)
+        nursery.start_soon(coordinator.run)
+        await trio.sleep(9.5)
+        assert decode_key_map(store.rows[ROW].value).ranges[0].target == "i-9"
+        await trio.sleep(4.0)
+        assert "i-9" not in {r.target for r in decode_key_map(store.rows[ROW].value).ranges}
+        nursery.cancel_scope.cancel()
+
+
+async def test_owner_whose_address_has_another_process_is_replaced_at_once(
+    autojump_clock: object,
+    view: View,
+    store: MemoryStore,
+    cfg: HostSettings,
+    order_log: OrderLog,
+) -> None:
+    """Guards against keys without an owner for ten seconds after targets started anew."""
+    coordinator = _coordinator(view, store, cfg, MeasuredHeat(view.clock))
+    _start(view, order_log, 2)
+    ranges = (KeyRange(0, LAST_KEY, "i-9", 1, 1, "127.0.0.99:9"),)
+    await store.commit({}, [(ROW, encode_key_map(KeyMap(ranges, 2)))])
+    order_log.names["127.0.0.99:9"] = "i-10"
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow, view, store)
+        nursery.start_soon(coordinator.run)
+        await trio.sleep(3.0)
+        assert "i-9" not in {r.target for r in decode_key_map(store.rows[ROW].value).ranges}
+        nursery.cancel_scope.cancel()
