--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -23,7 +23,9 @@
     CLOCK_FACTOR,
     HOLD_SECONDS,
     LONG_HOLD_SECONDS,
+    ORDER_SECONDS,
     RENEW_SECONDS,
+    TRAVEL_SECONDS,
     FenceTooLow,
     TargetOrders,
 )
@@ -186,8 +188,7 @@
             self._orders[key] = orders
             nursery.start_soon(self._keep_grants, orders)
         nursery.start_soon(self._watch_lease)
-        longest = self._cfg.bounds.hold_max * CLOCK_FACTOR + 0.5
-        held_until = self._started_at + longest
+        held_until = self._unrecorded_until()
         for name, index in self._view.key_maps.items():
             keys = ServiceKeys(index.key_map, self._view.key_map_versions[name])
             # The earlier leader may have drawn tokens that it did not write.
@@ -446,7 +447,7 @@
 
     def _unrecorded_until(self) -> float:
         """Return until when a target may hold keys of which this term has no record."""
-        return self._started_at + self._cfg.bounds.hold_max * CLOCK_FACTOR + 0.5
+        return self._started_at + LONG_HOLD_SECONDS * CLOCK_FACTOR + ORDER_SECONDS + TRAVEL_SECONDS
 
     async def _wait_until(self, moment: float, owner: KeyRange) -> None:
         while self._clock.now() < moment and not self._has_ended(owner):
--- a/radishshunt/gateway/orders.py
+++ b/radishshunt/gateway/orders.py
@@ -24,8 +24,9 @@
 
 # Time of a grant. It covers a change of the leader: lease, takeover and the next renewal.
 HOLD_SECONDS = 4.5
-# While the store does not answer no other host can lead soon, so that grants last longer.
-LONG_HOLD_SECONDS = 9.8
+# While the store does not answer no other host can lead soon, so that grants last longer. A new
+# leader has to wait this long for owners that it does not reach, which bounds it from above.
+LONG_HOLD_SECONDS = 7.5
 RENEW_SECONDS = 1.0
 # A target's clock may run this much slow.
 CLOCK_FACTOR = 1.02
--- a/tests/test_gateway/test_gateway_coordinator.py
+++ b/tests/test_gateway/test_gateway_coordinator.py
@@ -13,6 +13,7 @@
 from radishshunt.gateway.leadership import Leadership
 from radishshunt.gateway.messages import Report
 from radishshunt.gateway.model import LAST_KEY, KeyMap, KeyRange
+from radishshunt.gateway.orders import LONG_HOLD_SECONDS
 from radishshunt.gateway.rows import Topic
 from radishshunt.platform.target_protocol import HttpTargetProtocol
 from tests.test_gateway.conftest import CONFIGURATION, entry_value, put
@@ -170,7 +171,7 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_follow, view, store)
         nursery.start_soon(coordinator.run)
-        await trio.sleep(9.5)
+        await trio.sleep(LONG_HOLD_SECONDS)
         assert decode_key_map(store.rows[ROW].value).ranges[0].target == "i-9"
         await trio.sleep(4.0)
         assert "i-9" not in {r.target for r in decode_key_map(store.rows[ROW].value).ranges}
