--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -4,7 +4,7 @@
 
 import logging
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import groupby
 from typing import TYPE_CHECKING
 
@@ -268,8 +268,17 @@
 
     def _regrant(self, orders: TargetOrders) -> None:
         """Give a target its keys anew with higher fencing tokens."""
-        for held in list(orders.held.values()):
-            self._start_move(held.keys, orders.entry.id, orders.entry.id)
+        entry = orders.entry
+        keys = self._services.get(entry.service)
+        if keys is None:
+            return
+        owned = [
+            item
+            for item in subtract(keys.key_map.ranges, ((m.first, m.last) for m in keys.moves))
+            if (item.target, item.life) == (entry.id, entry.life)
+        ]
+        for item in owned:
+            self._begin(entry.service, keys, Move(item.first, item.last, entry.id, entry.id))
 
     def _plan(self) -> None:
         cfg = self._view.cfg
@@ -314,13 +323,11 @@
         for move in keys.moves:
             if move.to in holders:
                 holders[move.to].load += heat.load(move.first, move.last)
-        ranges = subtract(keys.key_map.ranges, ((m.first, m.last) for m in keys.moves))
-        for item in ranges:
-            entry = self._view.targets.get(item.target)
-            if item.target in holders and (entry is None or entry.entry.life != item.life):
-                # The target has started anew and holds nothing.
-                self._start_move(item, item.target, "")
-        ranges = subtract(ranges, ((m.first, m.last) for m in keys.moves))
+        ranges = [
+            # A target that has started anew holds nothing.
+            item if self._is_current(item) else replace(item, target="")
+            for item in subtract(keys.key_map.ranges, ((m.first, m.last) for m in keys.moves))
+        ]
         for move in plan_moves(ranges, holders, heat):
             self._begin(service.name, keys, move)
         if len(keys.key_map.ranges) > RANGES_PER_TARGET * max(1, len(holders)):
@@ -366,30 +373,10 @@
     def _usable(self, target: Target) -> bool:
         return target.leaving_since is None and target.entry.domain not in self._view.evacuated
 
-    def _start_move(self, item: KeyRange, source: str, to: str) -> None:
-        for name, keys in self._services.items():
-            if item in keys.key_map.ranges or any(
-                r.first <= item.first and item.last <= r.last for r in keys.key_map.ranges
-            ):
-                if any(m.first <= item.last and item.first <= m.last for m in keys.moves):
-                    return
-                holders = {h.id: h for h in self._accepting(name)}
-                chosen = to if to in holders else ""
-                if not chosen and holders:
-                    chosen = min(holders.values(), key=lambda h: h.load).id
-                if chosen and self._fits(name, item):
-                    self._begin(name, keys, Move(item.first, item.last, source, chosen))
-                return
-
-    def _fits(self, service: str, item: KeyRange) -> bool:
+    def _is_current(self, item: KeyRange) -> bool:
+        """Return whether the process that owns a range is the one that is registered."""
         target = self._view.targets.get(item.target)
-        return target is None or target.entry.service == service
-
-    def _accepting(self, service: str) -> list[Holder]:
-        cfg = self._view.cfg
-        if cfg is None or service not in cfg.services:
-            return []
-        return [h for h in self._holders(cfg.services[service]).values() if h.accepts]
+        return target is None or target.entry.life == item.life
 
     def _begin(self, service: str, keys: ServiceKeys, move: Move) -> None:
         active = ActiveMove(service, move.first, move.last, move.source, move.to)
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -250,13 +250,15 @@
                 state.load.reported(report.running, report.waiting, report.slowdown, now)
         except ExchangeError as exc:
             self._failed(state, now)
-            return self._after_failure(req, route, target, tries, exc)
+            self._after_failure(req, route, target, tries, exc)
+            return None
         finally:
             state.load.ended()
         self._log(req, route, target, tries, answer.status)
         if self._protocol.not_run(answer):
             tries.sent = bool(tries.targets)
-            return await self._after_refusal(answer, target, state, tries, deadline)
+            self._after_refusal(answer, target, state, tries)
+            return None
         state.failures = 0
         self._quarantine.note_answer(tries.fingerprint, "")
         if answer.status < 500:
@@ -266,6 +268,11 @@
     def _after_failure(
         self, req: CallerRequest, route: Route, target: Target, tries: Tries, exc: ExchangeError
     ) -> None:
+        """Note that a target gave no whole answer.
+
+        :raises OutcomeOfRequestUnknown: If the request may have run and is not sent again.
+        :raises NotRun: If it was never sent and is not offered again.
+        """
         self._log(req, route, target, tries, 0, str(exc))
         if not exc.sent:
             tries.refused_by.add(target.entry.id)
@@ -282,9 +289,13 @@
         if tries.arrivals >= route.max_attempts:
             raise OutcomeOfRequestUnknown("no-answer", str(exc), status=502)
 
-    async def _after_refusal(
-        self, answer: Answer, target: Target, state: TargetState, tries: Tries, deadline: float
+    def _after_refusal(
+        self, answer: Answer, target: Target, state: TargetState, tries: Tries
     ) -> None:
+        """Note that a target did not run the request.
+
+        :raises NotRun: If it is not offered again.
+        """
         if self._protocol.is_wrong_target(answer):
             if tries.arrivals >= MAX_ARRIVALS:
                 raise self._given_up(tries, "no-owner", state)
