--- a/tests/test_gateway/test_gateway_coordinator.py
+++ b/tests/test_gateway/test_gateway_coordinator.py
@@ -119,7 +119,7 @@
         await trio.sleep(4.0)
         last_grant = trio.current_time()
         order_log.names["127.0.0.1:9"] = ""
-        orders = coordinator._orders["i-0", 1]
+        orders = coordinator.mover.orders["i-0", 1]
         orders._pool._connected = False
         put(view, Topic.TARGETS, "i-0", None, 50)
         while "i-0" in {i.target for i in decode_key_map(store.rows[ROW].value).ranges}:
