--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -22,6 +22,7 @@
 from radishshunt.http_server import HttpServer
 from radishshunt.logs import decision
 from radishshunt.memory import BodyMemory
+from radishshunt.metrics import Metrics
 from radishshunt.quarantine import Quarantine
 from radishshunt.supervisor import Supervisor
 
@@ -61,7 +62,8 @@
         self._wall = SystemClock()
         self.quarantine = Quarantine()
         self.sender = Sender(cfg, self.view, protocol, self.quarantine, self._wall)
-        self.front = Front(self.view, self.sender, protocol, BodyMemory(BODY_BYTES))
+        self.metrics = Metrics()
+        self.front = Front(self.view, self.sender, protocol, BodyMemory(BODY_BYTES), self.metrics)
         self.leadership = Leadership(cfg, self.view, store)
         self.heat = MeasuredHeat(self.view.clock)
         self.coordinator = Coordinator(
@@ -73,6 +75,9 @@
         )
         self._callers = HttpServer(self.front.app, cfg.callers, name="callers")
         self._checks = HttpServer(self._check_app, cfg.ready, name="ready")
+        self._figures = HttpServer(
+            self._metrics_app, f"{cfg.ip}:{cfg.metrics_port}", name="metrics"
+        )
         self._supervisor = Supervisor(self.view.clock)
 
     async def run(self) -> None:
@@ -81,6 +86,7 @@
         parts = {f"follow-{t.value}": self._follower(t).run for t in Topic}
         parts["callers"] = self._callers.run
         parts["ready"] = self._checks.run
+        parts["metrics"] = self._figures.run
         parts["coordinator"] = self.coordinator.run
         parts["link"] = self._link.run
         parts["links"] = self._links.run
@@ -141,8 +147,16 @@
     async def _check_app(self, scope: Any, receive: Any, send: Any) -> None:
         """Answer the platform's readiness check."""
         ready = scope["path"] == self._ready_path and self.view.complete and not self.leaving
-        body = json.dumps({"ready": ready}).encode()
-        headers = [(b"content-length", str(len(body)).encode())]
-        status = 200 if ready else 503
-        await send({"type": "http.response.start", "status": status, "headers": headers})
-        await send({"type": "http.response.body", "body": body, "more_body": False})
+        await _answer(send, 200 if ready else 503, json.dumps({"ready": ready}).encode())
+
+    async def _metrics_app(self, scope: Any, receive: Any, send: Any) -> None:
+        """Answer with the metrics of this host, whatever the path."""
+        self.metrics.running.set(self.front.running)
+        self.metrics.catalog_version.set(self.view.cfg.version if self.view.cfg else 0)
+        await _answer(send, 200, self.metrics.render())
+
+
+async def _answer(send: Any, status: int, body: bytes) -> None:
+    headers = [(b"content-length", str(len(body)).encode())]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body, "more_body": False})
--- a/radishshunt/gateway/front.py
+++ b/radishshunt/gateway/front.py
@@ -22,6 +22,7 @@
     from radishshunt.gateway.sender import Sender
     from radishshunt.gateway.view import View
     from radishshunt.memory import BodyLease, BodyMemory
+    from radishshunt.metrics import Metrics
 
 logger = logging.getLogger(__name__)
 
@@ -43,8 +44,14 @@
     """
 
     def __init__(
-        self, view: View, sender: Sender, protocol: TargetProtocol, memory: BodyMemory
+        self,
+        view: View,
+        sender: Sender,
+        protocol: TargetProtocol,
+        memory: BodyMemory,
+        metrics: Metrics,
     ) -> None:
+        self._metrics = metrics
         self.running = 0
         self._view = view
         self._sender = sender
@@ -87,6 +94,9 @@
             )
         else:
             await exchange.send_whole(answer.status, _answer_headers(answer), answer.body)
+            name = route.shares[0].service
+            self._metrics.requests.labels(name, f"status-{answer.status // 100}xx").inc()
+            self._metrics.latency("caller", name).record(trio.current_time() - received_at)
 
     async def _answer(self, req: CallerRequest, route: Route) -> Answer:
         cfg = self._view.cfg
@@ -146,6 +156,9 @@
         raise NotRun("slow-body", "the body did not arrive before the deadline", status=408)
 
     def _log_refusal(self, req: CallerRequest, exc: RequestError) -> None:
+        route = self._view.find_route(req.host, req.path)
+        service = route.shares[0].service if route else ""
+        self._metrics.requests.labels(service, exc.reason).inc()
         decision(
             "reject",
             request_id=req.attempt_id,
--- a/tests/test_gateway/test_gateway_whole_path.py
+++ b/tests/test_gateway/test_gateway_whole_path.py
@@ -50,6 +50,12 @@
         return await client.get(f"http://{host.cfg.callers}/reads/x?y=1", headers=headers)
 
 
+async def _metrics(host: GatewayHost) -> str:
+    async with httpx.AsyncClient(trust_env=False) as client:
+        url = f"http://{host.cfg.ip}:{host.cfg.metrics_port}/metrics"
+        return (await client.get(url)).text
+
+
 async def _until_served(host: GatewayHost) -> None:
     with trio.fail_after(READY_SECONDS):
         while True:
@@ -89,6 +95,8 @@
         ran = [name for target in targets for name in target.ran if name != "attempt-0"]
         assert sorted(ran) == sorted(f"attempt-{number}" for number in range(1, len(keys) + 1))
         assert all(target.ran for target in targets)
+        figures = await _metrics(hosts[0])
+        assert 'radishshunt_requests_total{result="status-2xx",service="register"}' in figures
         store.down = True
         await trio.sleep(2.0)
         assert (await _get(hosts[0], 40_000, 99)).status_code == 200
