--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -57,12 +57,11 @@
 ANSWER_MARGIN_SECONDS = 0.035
 # A hop to a target and back takes a few milliseconds.
 HOP_SECONDS = 0.01
+MIN_OFFER_SECONDS = 0.03
 # Waiting requests look again for room this often.
 LANE_POLL_SECONDS = 0.02
 # A waiting request is given up when less than this part of a target's mean work time is left.
 LATE_SHARE = 0.6
-# Hosts assumed before the leader says how many there are; the users run 10 and 11.
-FIRST_HOSTS = 12
 # Times that one request is sent, those that targets turned away included.
 MAX_ARRIVALS = 4
 # Failures in a row after which a target without keys is avoided, and for how long.
@@ -120,10 +119,7 @@
 class Sender:
     """Routes requests to targets.
 
-    :param quarantine: Requests whose targets ended as they ran them.
-    :param clock: Wall clock, which all hosts share.
-    :ivar hosts: Number of hosts that share the operators' budgets.
-    :ivar arrivals: Requests since the last report, by service and key.
+    :param hosts: Number of hosts that share the operators' budgets.
     """
 
     def __init__(
@@ -138,7 +134,7 @@
         self._quarantine = quarantine
         self._clock = clock
         self._losses, self._incoming_losses = trio.open_memory_channel[_Loss](QUEUED_LOSSES)
-        self.hosts = FIRST_HOSTS
+        self.hosts = 12
         self.arrivals: dict[str, dict[int, int]] = {}
         self._cfg = cfg
         self._view = view
