--- a/radishshunt/admin.py
+++ b/radishshunt/admin.py
@@ -20,7 +20,7 @@
 from radishshunt.hashing import key_hash
 from radishshunt.release.acceptance import history, submit
 from radishshunt.release.note import parse_note
-from radishshunt.util.problems import problem
+from radishshunt.util.problem_responses import problem
 
 if TYPE_CHECKING:
     from radishshunt.app import Host
--- a/radishshunt/gateway/links.py
+++ b/radishshunt/gateway/links.py
@@ -9,14 +9,13 @@
 import logging
 from typing import TYPE_CHECKING
 
-import httpx
 import trio
 
 from radishshunt.errors import ProtocolError
 from radishshunt.gateway.messages import LENGTH_BYTES, MAX_FRAME_BYTES, News, Report, decode, encode
 from radishshunt.gateway.rows import Change
 from radishshunt.logs import decision
-from radishshunt.target_transport import open_stream
+from radishshunt.util.streams import ConnectFailed, connect
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -225,7 +224,7 @@
                 try:
                     await self._connect(leader.address)
                 except* (
-                    httpx.TransportError,
+                    ConnectFailed,
                     trio.BrokenResourceError,
                     trio.ClosedResourceError,
                     ProtocolError,
@@ -235,7 +234,7 @@
 
     async def _connect(self, address: str) -> None:
         ip, _, port = address.rpartition(":")
-        stream = await open_stream(ip, int(port), CONNECT_SECONDS)
+        stream = await connect(ip, int(port), CONNECT_SECONDS)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._send_reports, stream)
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -7,7 +7,6 @@
 from random import Random
 from typing import TYPE_CHECKING
 
-import httpx
 import trio
 from xxhash import xxh3_64_intdigest
 
@@ -24,7 +23,7 @@
 from radishshunt.policy.direct.refusal import may_offer, retry_after
 from radishshunt.policy.direct.target_load import TargetLoad
 from radishshunt.quarantine import DEATHS_REFUSED
-from radishshunt.target_transport import open_stream
+from radishshunt.util.streams import ConnectFailed, ConnectTimeout, connect
 
 if TYPE_CHECKING:
     from radishshunt.clock import Clock
@@ -191,13 +190,13 @@
         """Make a request a suspect if its target's process has ended, not only its answer."""
         ip, _, port = loss.target.address.rpartition(":")
         try:
-            stream = await open_stream(ip, int(port), CONFIRM_SECONDS)
-        except httpx.ConnectError:
+            stream = await connect(ip, int(port), CONFIRM_SECONDS)
+        except ConnectTimeout:
+            logger.info("target %s does not answer after a loss", loss.target.id)
+        except ConnectFailed:
             incarnation = xxh3_64_intdigest(f"{loss.target.id}/{loss.target.life}".encode())
             self._quarantine.note_death(loss.fingerprint, "", incarnation, self._clock.now())
             decision("crash", target=loss.target.id, fingerprint=f"{loss.fingerprint:016x}")
-        except httpx.ConnectTimeout:
-            logger.info("target %s does not answer after a loss", loss.target.id)
         else:
             stream.socket.close()
 
--- a/radishshunt/gateway/target_pool.py
+++ b/radishshunt/gateway/target_pool.py
@@ -4,11 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-import httpx
 import trio
 
 from radishshunt.gateway.exchange import Answer, Connection, ExchangeError, OutgoingRequest
-from radishshunt.target_transport import open_stream
+from radishshunt.util.streams import ConnectFailed, connect
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -101,9 +100,9 @@
 
     async def _connect(self, seconds: float) -> Connection:
         try:
-            stream = await open_stream(self._ip, self._port, seconds)
-        except httpx.TransportError as exc:
-            raise ExchangeError(f"{type(exc).__name__} {exc}", sent=False) from exc
+            stream = await connect(self._ip, self._port, seconds)
+        except ConnectFailed as exc:
+            raise ExchangeError(str(exc), sent=False) from exc
         self.opened += 1
         conn = Connection(stream)
         if self._verify is not None:
--- a/radishshunt/platform/store.py
+++ b/radishshunt/platform/store.py
@@ -7,10 +7,12 @@
 from typing import TYPE_CHECKING, Any
 from urllib.parse import urlencode
 
-import httpx
+import trio
 
 from radishshunt.errors import OutcomeUnknown, PlatformUnavailable, ProtocolError
+from radishshunt.gateway.exchange import Answer, ExchangeError, OutgoingRequest
 from radishshunt.gateway.rows import Change, Commit, HistoryLost, Row, RowStore, Topic
+from radishshunt.gateway.target_pool import TargetPool
 from radishshunt.platform.names import (
     CHANGES_PATH,
     OPERATOR_TABLE,
@@ -19,7 +21,6 @@
     TARGETS_TABLE,
     TRANSACTION_PATH,
 )
-from radishshunt.target_transport import TargetTransport
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -31,12 +32,14 @@
 }
 # The store answers in some milliseconds; on its slow days in some hundred.
 CALL_SECONDS = 1.0
-CONNECT_SECONDS = 0.5
-# Feeds of all topics, a read and a write at once.
-CONNECTIONS = 8
-# The store keeps an idle connection for longer.
-IDLE_SECONDS = 5.0
 PAGE_ROWS = 500
+OK = 200
+# A condition of a commit does not hold.
+CONDITION_FAILED = 412
+# The history asked for is no longer there.
+HISTORY_GONE = 410
+# The store answers these without doing anything.
+REFUSED = (429, 503)
 
 
 class HttpRowStore(RowStore):
@@ -47,10 +50,7 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._transport = TargetTransport(
-            address, connections=CONNECTIONS, idle_seconds=IDLE_SECONDS
-        )
-        self.calls = 0
+        self._pool = TargetPool(address)
 
     async def read(self, topic: Topic) -> Change:
         rows: dict[str, Row] = {}
@@ -86,59 +86,65 @@
             "Remove": [],
         }
         try:
-            status, answer = await self._call("POST", TRANSACTION_PATH, json.dumps(doc).encode())
-        except httpx.HTTPError as exc:
-            raise OutcomeUnknown(f"commit: {type(exc).__name__} {exc}") from exc
-        if status not in (200, 412):
-            raise OutcomeUnknown(f"commit: status {status}")
-        if status == 412:
-            current = {row.key: row for row in _rows(answer.get("Rows", []))}
+            answer = await self._call("POST", TRANSACTION_PATH, json.dumps(doc).encode())
+        except ExchangeError as exc:
+            raise OutcomeUnknown(f"commit: {exc}") from exc
+        if answer.status == CONDITION_FAILED:
+            current = {row.key: row for row in _rows(_document(answer).get("Rows", []))}
             return Commit(done=False, version=0, current=current)
-        return Commit(done=True, version=int(answer["RowVersion"]))
+        if answer.status != OK:
+            raise OutcomeUnknown(f"commit: status {answer.status}")
+        return Commit(done=True, version=int(_document(answer)["RowVersion"]))
 
     async def _read_call(self, path: str, query: dict[str, Any], wait: float) -> dict[str, Any]:
         try:
-            status, doc = await self._call("GET", f"{path}?{urlencode(query)}", b"", wait)
-        except httpx.HTTPError as exc:
-            raise PlatformUnavailable(f"{path}: {type(exc).__name__} {exc}") from exc
-        if status == 410:
+            answer = await self._call("GET", f"{path}?{urlencode(query)}", b"", wait)
+        except ExchangeError as exc:
+            raise PlatformUnavailable(f"{path}: {exc}") from exc
+        if answer.status == HISTORY_GONE:
             raise HistoryLost
-        if status != 200 or "RowVersion" not in doc:
-            raise PlatformUnavailable(f"{path}: status {status}")
+        doc = _document(answer)
+        if answer.status != OK or "RowVersion" not in doc:
+            raise PlatformUnavailable(f"{path}: status {answer.status}")
         return doc
 
-    async def _call(
-        self, method: str, target: str, body: bytes, wait: float = 0.0
-    ) -> tuple[int, dict[str, Any]]:
-        self.calls += 1
+    async def _call(self, method: str, target: str, body: bytes, wait: float = 0.0) -> Answer:
+        """Return the store's answer.
+
+        :param wait: Seconds for which the store may hold the answer back.
+        :raises PlatformUnavailable: If the call had no effect.
+        :raises ExchangeError: If it may have had one.
+        """
         headers = [(b"host", self._address.encode())]
         if body:
             headers.append((b"content-type", b"application/json"))
             headers.append((b"content-length", str(len(body)).encode()))
+        req = OutgoingRequest(method.encode(), target.encode(), headers, body)
         try:
-            resp = await self._transport.request(
-                method,
-                target.encode(),
-                headers,
-                body,
-                seconds=CALL_SECONDS + wait,
-                connect_seconds=CONNECT_SECONDS,
-            )
-        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
-            raise PlatformUnavailable(f"{method} {target}: {type(exc).__name__} {exc}") from exc
-        try:
-            content = await resp.aread()
-        finally:
-            await resp.aclose()
-        if resp.status_code in (429, 503):
-            raise PlatformUnavailable(f"{method} {target}: status {resp.status_code}")
-        try:
-            doc = json.loads(content) if content else {}
-        except ValueError as exc:
-            raise ProtocolError(f"{method} {target}: {exc}") from exc
-        if not isinstance(doc, dict):
-            raise ProtocolError(f"{method} {target}: not an object")
-        return resp.status_code, doc
+            with trio.move_on_after(CALL_SECONDS + wait):
+                answer = await self._pool.exchange(req, repeatable=not body)
+                if answer.status in REFUSED:
+                    raise PlatformUnavailable(f"{method} {target}: status {answer.status}")
+                return answer
+        except ExchangeError as exc:
+            if exc.sent:
+                raise
+            raise PlatformUnavailable(f"{method} {target}: {exc}") from exc
+        raise ExchangeError(f"no answer within {CALL_SECONDS + wait} s", sent=True)
+
+
+def _document(answer: Answer) -> dict[str, Any]:
+    """Return the JSON object in an answer.
+
+    :raises ProtocolError: If there is none.
+    """
+    try:
+        doc = json.loads(answer.body) if answer.body else {}
+    except ValueError as exc:
+        raise ProtocolError(f"answer of the store: {exc}") from exc
+    if not isinstance(doc, dict):
+        raise ProtocolError("answer of the store: not an object")
+    return doc
 
 
 def _rows(items: Any) -> list[Row]:
--- /dev/null
+++ b/radishshunt/util/problem_responses.py
@@ -0,0 +1,30 @@
+"""Problem documents as responses of quart applications."""
+
+from __future__ import annotations
+
+import json
+
+from quart import Response
+
+from radishshunt.util.problems import CONTENT_TYPE, problem_document, retry_after_value
+
+
+def problem(
+    status: int,
+    reason: str,
+    detail: str,
+    *,
+    outcome: str | None = None,
+    retry_after: float | None = None,
+) -> Response:
+    """Return a response of type ``application/problem+json``.
+
+    :param reason: Machine-readable reason, the last part of the problem's type.
+    :param outcome: What is known of the request: ``not-run``, ``unknown`` or ``ran``.
+    :param retry_after: Seconds after which a new attempt makes sense.
+    """
+    doc = problem_document(status, reason, detail, outcome)
+    resp = Response(json.dumps(doc), status=status, content_type=CONTENT_TYPE)
+    if retry_after is not None:
+        resp.headers["Retry-After"] = retry_after_value(retry_after)
+    return resp
--- a/radishshunt/util/problems.py
+++ b/radishshunt/util/problems.py
@@ -2,13 +2,10 @@
 
 from __future__ import annotations
 
-import json
 import math
 from http import HTTPStatus
 from typing import Any
 
-from quart import Response
-
 CONTENT_TYPE = "application/problem+json"
 
 
@@ -37,27 +34,6 @@
     return str(max(1, math.ceil(seconds)))
 
 
-def problem(
-    status: int,
-    reason: str,
-    detail: str,
-    *,
-    outcome: str | None = None,
-    retry_after: float | None = None,
-) -> Response:
-    """Return a response of type ``application/problem+json``.
-
-    :param reason: Machine-readable reason, the last part of the problem's type.
-    :param outcome: What is known of the request: ``not-run``, ``unknown`` or ``ran``.
-    :param retry_after: Seconds after which a new attempt makes sense.
-    """
-    doc = problem_document(status, reason, detail, outcome)
-    resp = Response(json.dumps(doc), status=status, content_type=CONTENT_TYPE)
-    if retry_after is not None:
-        resp.headers["Retry-After"] = retry_after_value(retry_after)
-    return resp
-
-
 def _title(status: int) -> str:
     try:
         return HTTPStatus(status).phrase
