--- a/radishshunt/gateway/leadership.py
+++ b/radishshunt/gateway/leadership.py
@@ -32,8 +32,8 @@
 RETRY_SECONDS = 0.2
 WATCH_SECONDS = 0.1
 # The busiest host of a day with 82 hosts and 157 targets with keys took 0.41 of a core. Hosts with
-# less than these, about twice as much, leave the lease to others for up to the delay, so that a slow
-# host leads only if no other does. With lease and spread the delay stays below a grant.
+# less than about twice as much leave the lease to others for up to the delay, so that a slow host
+# leads only if no other does. With lease and spread the delay stays below a grant.
 LEADER_CORES = 0.7
 LEADER_LINK_MBPS = 40.0
 WEAK_DELAY_SECONDS = 1.0
