Spread hot keys of large services, and refuse by what all hosts send to a target

With 60 keys of 6 requests a second and 157 targets of 15, each hot key exceeds that, the piece without it gains nothing, and the moves ended after the first one with the busiest target at 56 times the mean. With 200 keys, 12 moves a round took 8 rounds. Meanwhile up to 82 hosts sent one request each to a target that each believed to be free.

Change: of the piece with and without its last key the one that gains more is moved; a round starts a quarter as many moves as there are targets.

--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -13,7 +13,14 @@
 from radishshunt.gateway.key_maps import subtract
 from radishshunt.gateway.key_mover import KeyMover
 from radishshunt.gateway.leadership import LeaseLost
-from radishshunt.placement.key_ranges import Heat, Holder, Move, plan_first, plan_moves
+from radishshunt.placement.key_ranges import (
+    Heat,
+    Holder,
+    Move,
+    overloaded,
+    plan_first,
+    plan_moves,
+)
 
 if TYPE_CHECKING:
     from radishshunt.clock import Clock
@@ -95,6 +102,7 @@
                 logger.info("another host leads now")
             finally:
                 self.mover.end_term()
+                self._view.overloaded = {}
 
     async def _keep_term(self, scope: trio.CancelScope) -> None:
         await self._leadership.keep()
@@ -105,6 +113,7 @@
         self._started_at = self._clock.now()
         self.mover.start_term(nursery)
         while True:
+            self._view.overloaded = {}
             self._plan()
             self._view.set_moving(self.mover.moving)
             await trio.sleep(PLAN_SECONDS)
@@ -152,6 +161,7 @@
             item if self._is_current(item) else replace(item, target="")
             for item in subtract(keys.key_map.ranges, ((m.first, m.last) for m in keys.moves))
         ]
+        self._view.overloaded |= overloaded(ranges, holders, heat)
         for move in plan_moves(ranges, holders, heat):
             self.mover.begin(service.name, keys, move)
         if len(keys.key_map.ranges) > RANGES_PER_TARGET * max(1, len(holders)):
--- a/radishshunt/gateway/gateway.capnp
+++ b/radishshunt/gateway/gateway.capnp
@@ -25,6 +25,11 @@
   last @2 :UInt16;
 }
 
+struct TargetLoad {
+  target @0 :Text;
+  load @1 :Float32;
+}
+
 # From the leader.
 struct News {
   leading @0 :Bool;
@@ -33,6 +38,7 @@
   changes @3 :List(Change);
   moving @4 :List(Keys);
   suspects @5 :List(Suspect);
+  overloaded @6 :List(TargetLoad);
 }
 
 struct KeyCount {
--- a/radishshunt/gateway/links.py
+++ b/radishshunt/gateway/links.py
@@ -31,7 +31,6 @@
 # so that its work does not grow with them without bound.
 NEWS_SECONDS = 0.2
 LONGEST_NEWS_SECONDS = 0.4
-LONGEST_REPORT_SECONDS = 0.8
 HOSTS_AT_FULL_RATE = 20
 # Changes that come close together go out in one message.
 COALESCE_SECONDS = 0.005
@@ -51,9 +50,9 @@
 SEND_SECONDS = 3.0
 
 
-def _interval(hosts: int, longest: float) -> float:
+def _interval(hosts: int) -> float:
     """Return the seconds between two messages of a system with some number of hosts."""
-    return min(longest, NEWS_SECONDS * max(1.0, hosts / HOSTS_AT_FULL_RATE))
+    return min(LONGEST_NEWS_SECONDS, NEWS_SECONDS * max(1.0, hosts / HOSTS_AT_FULL_RATE))
 
 
 class FrameReader:
@@ -131,7 +130,7 @@
     async def _send_news(self) -> None:
         """Encode one frame for all links as changes come, and at least at the interval of news."""
         while True:
-            with trio.move_on_after(_interval(self.hosts, LONGEST_NEWS_SECONDS)):
+            with trio.move_on_after(_interval(self.hosts)):
                 await self._wake.wait()
                 await trio.sleep(COALESCE_SECONDS)
             self._wake = trio.Event()
@@ -150,6 +149,7 @@
             hosts=self.hosts,
             changes=changes,
             moving=self._view.moving,
+            overloaded=self._view.overloaded,
             suspects=self._suspects(),
         )
 
@@ -275,6 +275,7 @@
                     ProtocolError,
                 ) as group:
                     logger.info("link to %s ended: %r", leader.host, group.exceptions[0])
+            self._view.overloaded = {}
             await trio.sleep(RECONNECT_SECONDS)
 
     async def _connect(self, address: str) -> None:
@@ -291,7 +292,7 @@
     async def _send_reports(self, stream: trio.SocketStream) -> None:
         while True:
             await stream.send_all(encode(self._report()))
-            await trio.sleep(_interval(self.hosts, LONGEST_REPORT_SECONDS))
+            await trio.sleep(_interval(self.hosts))
 
     async def _receive(self, stream: trio.SocketStream, address: str) -> None:
         reader = FrameReader(stream)
@@ -309,6 +310,7 @@
         for change in news.changes:
             self._view.apply(expand(change, self._view.rows[change.topic]))
         self._view.set_moving(news.moving)
+        self._view.overloaded = news.overloaded
         self._take_suspects(news.suspects)
         self.hosts = news.hosts
         if all(self._view.versions.values()):
--- a/radishshunt/gateway/messages.py
+++ b/radishshunt/gateway/messages.py
@@ -35,6 +35,7 @@
     :param followed_age: Seconds since the sender knew all changes by operators and targets.
     :param hosts: Hosts that the leader hears, itself included.
     :param moving: Ranges of keys that are being moved, by service.
+    :param overloaded: Load of all hosts relative to the capacity, by target.
     :param suspects: Requests that were running on targets as those were lost.
     """
 
@@ -43,6 +44,7 @@
     hosts: int
     changes: tuple[Change, ...] = ()
     moving: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
+    overloaded: dict[str, float] = field(default_factory=dict)
     suspects: tuple[Suspect, ...] = ()
 
 
@@ -85,6 +87,9 @@
                 for service, ranges in msg.moving.items()
                 for first, last in ranges
             ],
+            "overloaded": [
+                {"target": target, "load": load} for target, load in msg.overloaded.items()
+            ],
             "suspects": _suspects(msg.suspects),
         }
         frame = _schema.Frame.new_message(news=news)
@@ -184,8 +189,17 @@
         )
         for change in news.changes
     )
+    overloaded = {item.target: item.load for item in news.overloaded}
     suspects = _read_suspects(news.suspects)
-    return News(news.leading, news.followedAge, news.hosts, changes, moving, suspects)
+    return News(
+        news.leading,
+        news.followedAge,
+        news.hosts,
+        changes,
+        moving,
+        overloaded,
+        suspects,
+    )
 
 
 def _report(report: capnp.lib.capnp._DynamicStructReader) -> Report:
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -20,6 +20,7 @@
 from radishshunt.policy.budgets import TokenBudget
 from radishshunt.policy.direct.cold_rate import ColdRate
 from radishshunt.policy.direct.lane import Lane
+from radishshunt.policy.direct.overload import OverloadGate
 from radishshunt.policy.direct.refusal import may_offer, retry_after
 from radishshunt.policy.direct.target_load import TargetLoad
 from radishshunt.quarantine import DEATHS_REFUSED
@@ -79,6 +80,7 @@
     load: TargetLoad
     lane: Lane = field(default_factory=Lane)
     cold: ColdRate = field(default_factory=ColdRate)
+    gate: OverloadGate = field(default_factory=OverloadGate)
     failures: int = 0
     avoid_until: float = float("-inf")
 
@@ -383,6 +385,10 @@
                 raise self._without_target(tries, "no-owner", f"key {req.key} has no owner now")
         if target.entry.id in tries.refused_by:
             raise self._given_up(tries, "target-full", self.state(target))
+        load = self._view.overloaded.get(target.entry.id, 0.0)
+        urgent = route.priority <= self._top_priority(service)
+        if not tries.arrivals and not self.state(target).gate.admits(load, urgent=urgent):
+            raise self._given_up(tries, "target-overloaded", self.state(target))
         if not self._admits(target, route, service, deadline):
             raise self._given_up(tries, "overload", self.state(target))
         return target
--- a/radishshunt/gateway/view.py
+++ b/radishshunt/gateway/view.py
@@ -79,6 +79,8 @@
         self.key_maps: dict[str, KeyIndex] = {}
         self.key_map_versions: dict[str, int] = {}
         self.moving: dict[str, list[tuple[int, int]]] = {}
+        # Load of all hosts relative to the capacity, of the targets where it is too much.
+        self.overloaded: dict[str, float] = {}
         self.leader = Leader()
         self.leader_seen_at = clock.now()
         self.versions: dict[Topic, int] = dict.fromkeys(Topic, 0)
--- a/radishshunt/placement/key_ranges.py
+++ b/radishshunt/placement/key_ranges.py
@@ -12,9 +12,10 @@
 from typing import TYPE_CHECKING
 
 from radishshunt.gateway.model import KEYS, LAST_KEY
+from radishshunt.policy.direct.overload import PROTECTED_LOAD
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from radishshunt.gateway.model import KeyRange
 
@@ -26,8 +27,11 @@
 RELIEF_UTILIZATION = 0.4
 # A move must bring the two targets closer by this much utilization.
 MIN_GAIN = 0.08
-# Moves that one round starts, and parts in which the keys of a lost target are spread.
+# Moves that one round starts: at least so many, and this many for each target, since a hot set of
+# keys of a large service is spread over more targets. Parts in which the keys of a lost target are
+# spread.
 MAX_MOVES = 12
+MOVES_PER_TARGET = 0.25
 ORPHAN_PARTS = 4
 
 
@@ -142,6 +146,22 @@
     return moves
 
 
+def overloaded(
+    ranges: Iterable[KeyRange], holders: Mapping[str, Holder], heat: Heat
+) -> dict[str, float]:
+    """Return the load of the targets that get more requests than they can serve.
+
+    :param ranges: Ranges that are not being moved.
+    :return: Offered load relative to the capacity, by target.
+    """
+    loads: dict[str, float] = {}
+    for item in ranges:
+        if item.target in holders:
+            loads[item.target] = loads.get(item.target, 0.0) + heat.load(item.first, item.last)
+    ratios = {name: load / holders[name].capacity for name, load in loads.items()}
+    return {name: ratio for name, ratio in ratios.items() if ratio >= PROTECTED_LOAD}
+
+
 def _place_orphans(
     orphans: list[tuple[int, int, str]], holders: dict[str, Holder], heat: Heat
 ) -> list[Move]:
@@ -176,7 +196,8 @@
     """Move pieces from the busiest targets to those with the most room."""
     moves: list[Move] = []
     mean = sum(h.load for h in holders.values()) / sum(h.capacity for h in holders.values())
-    while len(moves) < MAX_MOVES:
+    most = max(MAX_MOVES, int(MOVES_PER_TARGET * len(holders)))
+    while len(moves) < most:
         sources = [h for h in holders.values() if held.get(h.id)]
         if not sources:
             break
@@ -202,18 +223,26 @@
     """Take a piece of about the wanted load from a target's busiest range."""
     at = max(range(len(ranges)), key=lambda i: ranges[i][2])
     first, last, load = ranges[at]
+    before = max(source.utilization, to.utilization)
+
+    def gain(end: int) -> float:
+        moved = heat.load(first, end)
+        if to.load + moved > to.limit:
+            return float("-inf")
+        left = (source.load - moved) / source.capacity
+        return before - max(left, (to.load + moved) / to.capacity)
+
     if load <= wanted * 1.25 or first == last:
         end = last
     else:
         end = heat.cut(first, last, wanted)
-        # One key alone may be far more than wanted.
-        if heat.load(first, end) > 2 * wanted and end > first:
-            end -= 1
-    piece = heat.load(first, end)
-    before = max(source.utilization, to.utilization)
-    after = max((source.load - piece) / source.capacity, (to.load + piece) / to.capacity)
-    if before - after < MIN_GAIN or to.load + piece > to.limit:
+        # The last key of the piece alone may be far more than wanted, but if it is the hot one, a
+        # piece without it gains nothing.
+        if end > first:
+            end = max(end, end - 1, key=gain)
+    if gain(end) < MIN_GAIN:
         return None
+    piece = heat.load(first, end)
     source.load -= piece
     to.load += piece
     if end == last:
--- a/tests/test_placement/test_placement_key_ranges.py
+++ b/tests/test_placement/test_placement_key_ranges.py
@@ -4,6 +4,8 @@
 
 from itertools import groupby
 
+import pytest
+
 from radishshunt.gateway.model import LAST_KEY, KeyRange
 from radishshunt.placement.key_ranges import Heat, Holder, Move, plan_first, plan_moves
 
@@ -75,6 +77,21 @@
     assert _busiest(_replay(ranges, heat, 4, balance=True), heat) < 1.6
 
 
+@pytest.mark.parametrize("keys", [60, 200])
+def test_hot_keys_of_a_large_service_are_spread_within_a_second(
+    keys: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against single keys that are hotter than the room of any target, which ended the
+    moves, and against too few moves a round; a round takes 0.2 s."""
+    monkeypatch.setitem(globals(), "TARGETS", [f"t{number}" for number in range(157)])
+    monkeypatch.setitem(globals(), "CAPACITY", 15.0)
+    rates = dict.fromkeys(range(0, LAST_KEY, 33), 640.0 / 2000)
+    rates.update({30_000 + key: 360.0 / keys for key in range(keys)})
+    heat = Heat(rates)
+    assert _busiest(_replay(_even_ranges(), heat, 5, balance=False), heat) > 20
+    assert _busiest(_replay(_even_ranges(), heat, 5, balance=True), heat) < 2.0
+
+
 def test_even_load_moves_nothing() -> None:
     """Guards against moves that cost more than they gain."""
     rates = dict.fromkeys(range(0, LAST_KEY, LAST_KEY // 1000), 0.15)
