Protect targets from extreme overload only

The measured work time of a target whose queue was full contains the waits in that queue, so that its capacity seems up to four times too small.

Ruled out: moves of keys (two no-owner in that time); the targets themselves.

Change: a target is protected from 4 times its seeming capacity on, and 3 times of it are let through.

--- a/radishshunt/policy/direct/overload.py
+++ b/radishshunt/policy/direct/overload.py
@@ -11,11 +11,12 @@
 
 from random import Random
 
-# Offered load relative to the capacity from which a target is protected. Below it, waiting and
-# the expected time to a slot decide; measured rates are uncertain by about this much.
-PROTECTED_LOAD = 1.4
-# Load that hosts together let through, so that a slot is never empty.
-ADMITTED_LOAD = 1.2
+# Offered load relative to the capacity from which a target is protected. The measured work time
+# contains waits in the target's queue, so that a target whose queue was full just before seems up
+# to four times slower than it is. A hot set that is not spread yet is 15 times the capacity.
+PROTECTED_LOAD = 4.0
+# Load that hosts together let through, for the same reason.
+ADMITTED_LOAD = 3.0
 # Part of an even share that less urgent requests get in any case.
 LEAST_OTHER_SHARE = 0.5
 # Weight of one request in the measured part of urgent ones.
