--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from abc import ABC, abstractmethod
 from dataclasses import replace
 from itertools import groupby
 from typing import TYPE_CHECKING
@@ -49,16 +50,16 @@
 COLD_PLAN_SHARE = 0.5
 
 
-class HeatSource:
+class HeatSource(ABC):
     """Load by key and capacity by target, as measured by all hosts."""
 
+    @abstractmethod
     def heat(self, service: str) -> Heat:
         """Return the measured load of a service's keys."""
-        raise NotImplementedError
 
+    @abstractmethod
     def work_seconds(self, target: str) -> float:
         """Return the mean time for which a request holds a slot of a target."""
-        raise NotImplementedError
 
 
 class Coordinator:
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -57,7 +57,6 @@
 ANSWER_MARGIN_SECONDS = 0.035
 # A hop to a target and back takes a few milliseconds.
 HOP_SECONDS = 0.01
-MIN_OFFER_SECONDS = 0.03
 # Waiting requests look again for room this often.
 LANE_POLL_SECONDS = 0.02
 # A waiting request is given up when less than this part of a target's mean work time is left.
--- a/radishshunt/platform/names.py
+++ b/radishshunt/platform/names.py
@@ -10,7 +10,6 @@
 SIGNATURE = "x-radishshunt-server-signature"
 LOAD = "x-radishshunt-server-load"
 NOT_RUN = "x-radishshunt-not-executed"
-COLD_MS = "x-radishshunt-warmup-ms"
 INSTANCE = "x-radishshunt-instance-id"
 HANDOVER = "x-radishshunt-handover"
 
