Encode news only on hosts that have links

Differences were also based on rows that only links of an earlier term knew, so that the first links of a returning leader would have ended once.

Change: a host without links notes no changes; the basis of differences begins anew with the first link. Test: a link of a second term takes differences (fails without the new beginning).

--- a/radishshunt/gateway/links.py
+++ b/radishshunt/gateway/links.py
@@ -130,14 +130,13 @@
     async def _send_news(self) -> None:
         """Encode one frame for all links as changes come, and at least at the interval of news."""
         while True:
-            with trio.move_on_after(_interval(self.hosts)):
+            with trio.move_on_after(_interval(self.hosts) if self._links else float("inf")):
                 await self._wake.wait()
                 await trio.sleep(COALESCE_SECONDS)
             self._wake = trio.Event()
             changes, self._changes = self._changes, []
-            encoded = self._history.encode(changes)
             if self._links:
-                frame = encode(self._news(encoded))
+                frame = encode(self._news(self._history.encode(changes)))
                 for link in self._links:
                     link.put(frame)
 
@@ -154,9 +153,12 @@
         )
 
     def _take_change(self, change: Change | None) -> None:
+        """Note a change for the links; a host without links, as most are, does nothing."""
+        self._first = (float("-inf"), b"")
+        if not self._links:
+            return
         if change is not None:
             self._changes.append(change)
-            self._first = (float("-inf"), b"")
         self._wake.set()
 
     def _first_frame(self) -> bytes:
@@ -177,7 +179,11 @@
     async def _serve(self, stream: trio.SocketStream) -> None:
         link = _Link(stream)
         link.put(self._first_frame())
+        if not self._links:
+            # What was sent before to links that have ended is no basis for this one.
+            self._history, self._changes = RowHistory(), []
         self._links.add(link)
+        self._wake.set()
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(link.send, nursery.cancel_scope)
--- a/tests/test_gateway/test_gateway_links.py
+++ b/tests/test_gateway/test_gateway_links.py
@@ -2,14 +2,25 @@
 
 from __future__ import annotations
 
+from types import SimpleNamespace
+
 import pytest
 import trio
+import trio.testing
 
 from radishshunt.clock import TrioClock
 from radishshunt.gateway.follower import PAUSE_SECONDS, WAIT_SECONDS
-from radishshunt.gateway.links import FRESH_SECONDS, NEWS_SECONDS, LinkClient
+from radishshunt.gateway.key_maps import encode_key_map
+from radishshunt.gateway.links import (
+    FRESH_SECONDS,
+    NEWS_SECONDS,
+    FrameReader,
+    LinkClient,
+    LinkServer,
+)
 from radishshunt.gateway.messages import News
-from radishshunt.gateway.rows import Change, Topic
+from radishshunt.gateway.model import LAST_KEY, KeyMap, KeyRange
+from radishshunt.gateway.rows import Change, Row, Topic
 from radishshunt.gateway.settings import HostSettings
 from radishshunt.gateway.view import View
 from radishshunt.platform.catalog import CatalogReader
@@ -77,3 +88,40 @@
     assert view.followed_age == pytest.approx(1.0)
     view.followed(Topic.OPERATOR)
     assert view.followed_age == pytest.approx(0.0)
+
+
+async def test_first_link_of_a_new_leader_gets_no_difference_to_an_older_row(
+    autojump_clock, view
+) -> None:
+    # Guards against links that end at once since their host was told a difference to a row that
+    # only the links of an earlier term knew.
+    cfg = HostSettings("host-1", "127.0.0.1", "munich", "", "", 1, 0, "")
+    server = LinkServer(cfg, view, lambda: True, lambda report: None, tuple)
+    other = View(CatalogReader(), TrioClock())
+    client = LinkClient(cfg, other, lambda: None, lambda suspects: None)
+
+    def write(version: int) -> None:
+        value = encode_key_map(KeyMap((KeyRange(0, LAST_KEY, "t" * 2000, version, version),), 9))
+        row = Row("keys/register", version, value)
+        view.apply(Change(Topic.OWN, (row,), version, whole=False))
+
+    async def link_once(versions: list[int]) -> None:
+        ours, theirs = trio.testing.memory_stream_pair()
+        ours.socket = theirs.socket = SimpleNamespace(close=lambda: None)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server._serve, ours)
+            reader = FrameReader(theirs)
+            client.take(await reader.read())
+            for version in versions:
+                write(version)
+                while other.key_map_versions.get("register") != version:
+                    client.take(await reader.read())
+            nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server._send_news)
+        await link_once([2, 3])
+        write(4)
+        await link_once([5, 6])
+        nursery.cancel_scope.cancel()
+    assert other.key_map_versions["register"] == 6
