Decode settings and rows of the platform with msgspec instead of pydantic

Cause: a host loaded pydantic only for the settings file and the rows of the platform's store. Its import and the construction of its models took a third of the host's start.

Change: msgspec validates both.

--- a/radishshunt/gateway/settings.py
+++ b/radishshunt/gateway/settings.py
@@ -43,6 +43,8 @@
     :param peer_port: Port for connections between hosts.
     :param metrics_port: Port of the metrics, 0 for none.
     :param store_address: Address of the platform's store.
+    :param seed_ips: IP addresses of a few hosts, which may have stopped.
+    :param max_row_bytes: Maximum size of a row's value in the store.
     :param heartbeat_seconds: Interval between the heartbeats of a target.
     :param cores: Available CPU capacity, in cores.
     :param link_mbps: Bandwidth of the network link in Mbit/s.
@@ -56,6 +58,8 @@
     peer_port: int
     metrics_port: int
     store_address: str
+    seed_ips: tuple[str, ...] = ()
+    max_row_bytes: int = 65536
     heartbeat_seconds: float = 1.0
     cores: float = 1.0
     link_mbps: float = 1000.0
--- a/radishshunt/platform/catalog.py
+++ b/radishshunt/platform/catalog.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-import json
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, Field, ValidationError
+import msgspec
 
 from radishshunt.errors import ProtocolError
 from radishshunt.gateway.model import (
@@ -28,30 +27,30 @@
 }
 # Attempts for a request if its route sets no limit; the second one may use another target.
 DEFAULT_ATTEMPTS = 2
-NonEmptyText = Annotated[str, Field(strict=True, min_length=1)]
-NonNegativeInteger = Annotated[int, Field(strict=True, ge=0)]
-NonNegativeNumber = Annotated[float, Field(ge=0)]
+NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
+NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0)]
+NonNegativeNumber = Annotated[float, msgspec.Meta(ge=0)]
 
 
-class _Part(BaseModel):
+class _Part(msgspec.Struct):
     Service: NonEmptyText
     Weight: NonNegativeNumber
 
 
-class _Route(BaseModel):
+class _Route(msgspec.Struct):
     Host: NonEmptyText
     Prefix: NonEmptyText
     Kind: Literal["idempotent", "non_idempotent", "upload"]
+    TimeoutMs: NonNegativeNumber
     Service: NonEmptyText | None = None
     Split: list[_Part] | None = None
-    TimeoutMs: NonNegativeNumber
     # Latency objective: an answer within it has its full value. 0 stands for the timeout.
     SloMs: NonNegativeNumber = 0
     MaxAttempts: int = DEFAULT_ATTEMPTS
     Priority: int = 0
 
 
-class _Service(BaseModel):
+class _Service(msgspec.Struct):
     MaxConns: int = 100
     IsSharded: bool = False
     ColdPerS: NonNegativeNumber = 0
@@ -60,28 +59,43 @@
     HealthPath: NonEmptyText = "/healthz"
 
 
-class _Limits(BaseModel):
+class _Limits(msgspec.Struct):
     MaxHeaderBytes: int = CallerLimits().head_bytes
     MaxBodyBytes: int = CallerLimits().body_bytes
     HeaderTimeoutMs: NonNegativeNumber = CallerLimits().head_seconds * 1000
     IdleTimeoutMs: NonNegativeNumber = CallerLimits().idle_seconds * 1000
 
 
-class _Info(BaseModel):
+class _Meta(msgspec.Struct):
+    Name: str = ""
+
+
+class _Resource(msgspec.Struct):
+    ResourceKind: str
+    Meta: _Meta = msgspec.field(default_factory=_Meta)
+    Spec: dict[str, Any] = msgspec.field(default_factory=dict)
+
+
+class _Configuration(msgspec.Struct):
+    Version: int
+    Resources: list[_Resource]
+
+
+class _Info(msgspec.Struct):
     Service: NonEmptyText
     Zone: NonEmptyText
-    Version: Annotated[str, Field(strict=True)]
+    Version: str
     # Number of requests that the target processes concurrently.
-    Capacity: Annotated[int, Field(strict=True, ge=1)]
+    Capacity: Annotated[int, msgspec.Meta(ge=1)]
 
 
-class _Status(BaseModel):
+class _Status(msgspec.Struct):
     State: Literal["ready", "draining"]
     Sequence: NonNegativeInteger
-    WarmupLeftMs: Annotated[float, Field(strict=True, ge=0)]
+    WarmupLeftMs: NonNegativeNumber
 
 
-class _Entry(BaseModel):
+class _Entry(msgspec.Struct):
     Addr: NonEmptyText
     Info: _Info
     Status: _Status
@@ -89,28 +103,30 @@
     born: NonNegativeInteger | None = None
 
 
+_CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
+_ENTRY_DECODER = msgspec.json.Decoder(_Entry)
+
+
 def decode_configuration(value: bytes) -> Configuration:
     """Decode the configuration in a row.
 
     :raises ProtocolError: If the row is malformed.
     """
     try:
-        doc = json.loads(value)
-        version = int(doc["Version"])
+        doc = _CONFIGURATION_DECODER.decode(value)
         routes: list[Route] = []
         services: dict[str, Service] = {}
         limits = CallerLimits()
-        for item in doc["Resources"]:
-            kind, name, spec = item["ResourceKind"], item.get("Meta", {}).get("Name", ""), None
-            spec = item.get("Spec", {})
-            if kind == "Routes":
-                routes.append(_route(name, _Route(**spec)))
-            elif kind == "Services":
-                services[name] = _service(name, _Service(**spec))
-            elif kind == "Limits":
-                limits = _limits(_Limits(**spec))
-        return Configuration(version, tuple(routes), services, limits)
-    except (ValidationError, ValueError, KeyError, TypeError, AttributeError) as exc:
+        for item in doc.Resources:
+            name = item.Meta.Name
+            if item.ResourceKind == "Routes":
+                routes.append(_route(name, _convert(item.Spec, _Route)))
+            elif item.ResourceKind == "Services":
+                services[name] = _service(name, _convert(item.Spec, _Service))
+            elif item.ResourceKind == "Limits":
+                limits = _limits(_convert(item.Spec, _Limits))
+        return Configuration(doc.Version, tuple(routes), services, limits)
+    except ValueError as exc:
         raise ProtocolError(f"configuration: {exc}") from exc
 
 
@@ -121,11 +137,11 @@
     :raises ProtocolError: If the entry is malformed or its address is invalid.
     """
     try:
-        entry = _Entry(**json.loads(value))
+        entry = _ENTRY_DECODER.decode(value)
         ip, _, port = entry.Addr.rpartition(":")
         if not ip or not 0 < int(port) < 65536:
             raise ValueError(f"invalid address {entry.Addr}")
-    except (ValidationError, ValueError, TypeError) as exc:
+    except ValueError as exc:
         raise ProtocolError(f"target entry {key}: {exc}") from exc
     return TargetEntry(
         id=key,
@@ -155,6 +171,14 @@
         return decode_target(key, value)
 
 
+def _convert(spec: dict[str, Any], kind: Any) -> Any:
+    """Return a resource's specification as a model; numbers may be given as text.
+
+    :raises ValueError: If the specification is malformed.
+    """
+    return msgspec.convert(spec, kind, strict=False)
+
+
 def _route(name: str, spec: _Route) -> Route:
     if spec.Split:
         shares = tuple(Share(part.Service, part.Weight) for part in spec.Split)
--- a/radishshunt/platform/settings_file.py
+++ b/radishshunt/platform/settings_file.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Annotated
+from typing import TYPE_CHECKING, Annotated, Any
 
-from pydantic import BaseModel, Field, ValidationError
+import msgspec
 
 from radishshunt.errors import SettingsError
 from radishshunt.gateway.settings import Bounds, HostSettings
@@ -12,67 +12,45 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
-Address = Annotated[str, Field(pattern=r"^[^:]+:\d{1,5}$")]
+Address = Annotated[str, msgspec.Meta(pattern=r"^[^:]+:\d{1,5}$")]
+PortRange = Annotated[str, msgspec.Meta(pattern=r"^\d{1,5},\d{1,5}$")]
+NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
+PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
+NonNegativeNumber = Annotated[float, msgspec.Meta(ge=0)]
 # Offset of the metrics port from the first port of the range, which other hosts connect to.
 METRICS_PORT_OFFSET = 1
 
-
-class _Bind(BaseModel):
-    FrontAddr: Address
-    Ready: Address
-
-
-class _Network(BaseModel):
-    Bind: _Bind
-    PortRange: Annotated[str, Field(pattern=r"^\d{1,5},\d{1,5}$")]
-
-
-class _Limits(BaseModel):
+# Type of each field that has to be present.
+_REQUIRED_FIELDS: dict[str, Any] = {
+    "Self.NodeId": NonEmptyText,
+    "Self.Ip": NonEmptyText,
+    "Self.Zone": NonEmptyText,
+    "Network.Bind.FrontAddr": Address,
+    "Network.Bind.Ready": Address,
+    "Network.PortRange": PortRange,
+    "Platform.Platform.Addr": Address,
+}
+# Type and default of each other field.
+_OPTIONAL_FIELDS: dict[str, tuple[Any, Any]] = {
     # Usable share of a core, and the speed of that core as a multiple of one core.
-    CpuShare: Annotated[float, Field(gt=0)] = 1.0
-    Cores: Annotated[float, Field(gt=0)] = 1.0
-    LinkMbps: Annotated[float, Field(gt=0)] = 1000.0
-
-
-class _Self(BaseModel):
-    NodeId: Annotated[str, Field(min_length=1)]
-    Ip: Annotated[str, Field(min_length=1)]
-    Zone: Annotated[str, Field(min_length=1)]
-    Limits: _Limits = _Limits()
-
-
-class _Store(BaseModel):
-    Addr: Address
-
-
-class _Platform(BaseModel):
-    Platform: _Store
-    HeartbeatMs: Annotated[float, Field(gt=0)] = 1000.0
-
-
-class _Bounds(BaseModel):
-    HoldMaxMs: Annotated[float, Field(gt=0)] = Bounds().max_grant_seconds * 1000
-    GraceS: Annotated[float, Field(gt=0)] = Bounds().stop_grace_seconds
-    DrainMs: Annotated[float, Field(gt=0)] = Bounds().drain_seconds * 1000
-    ApplyMs: Annotated[float, Field(gt=0)] = Bounds().apply_seconds * 1000
-    EvacuateMs: Annotated[float, Field(gt=0)] = Bounds().evacuate_seconds * 1000
-    ContactMs: Annotated[float, Field(gt=0)] = Bounds().contact_seconds * 1000
-    RetryRatio: Annotated[float, Field(ge=0)] = Bounds().retry_ratio
-    RetrySlack: Annotated[float, Field(ge=0)] = Bounds().retry_slack
-    RetryWindowS: Annotated[float, Field(gt=0)] = Bounds().retry_window_seconds
-    ColdMultiplier: Annotated[float, Field(ge=0)] = Bounds().cold_multiplier
-    ColdSlack: Annotated[float, Field(ge=0)] = Bounds().cold_slack
-
-
-class _Terms(BaseModel):
-    Bounds: _Bounds = _Bounds()
-
-
-class _File(BaseModel):
-    Self: _Self
-    Network: _Network
-    Platform: _Platform
-    Terms: _Terms = _Terms()
+    "Self.Limits.CpuShare": (PositiveNumber, 1.0),
+    "Self.Limits.Cores": (PositiveNumber, 1.0),
+    "Self.Limits.LinkMbps": (PositiveNumber, 1000.0),
+    "Network.Seeds": (str, ""),
+    "Platform.HeartbeatMs": (PositiveNumber, 1000.0),
+    "Platform.Platform.RowBytes": (PositiveNumber, 65536.0),
+    "Terms.Bounds.HoldMaxMs": (PositiveNumber, Bounds().max_grant_seconds * 1000),
+    "Terms.Bounds.GraceS": (PositiveNumber, Bounds().stop_grace_seconds),
+    "Terms.Bounds.DrainMs": (PositiveNumber, Bounds().drain_seconds * 1000),
+    "Terms.Bounds.ApplyMs": (PositiveNumber, Bounds().apply_seconds * 1000),
+    "Terms.Bounds.EvacuateMs": (PositiveNumber, Bounds().evacuate_seconds * 1000),
+    "Terms.Bounds.ContactMs": (PositiveNumber, Bounds().contact_seconds * 1000),
+    "Terms.Bounds.RetryRatio": (NonNegativeNumber, Bounds().retry_ratio),
+    "Terms.Bounds.RetrySlack": (NonNegativeNumber, Bounds().retry_slack),
+    "Terms.Bounds.RetryWindowS": (PositiveNumber, Bounds().retry_window_seconds),
+    "Terms.Bounds.ColdMultiplier": (NonNegativeNumber, Bounds().cold_multiplier),
+    "Terms.Bounds.ColdSlack": (NonNegativeNumber, Bounds().cold_slack),
+}
 
 
 def load_host_settings(path: Path) -> HostSettings:
@@ -89,68 +67,68 @@
     :param source: Name of the file, for error messages.
     :raises SettingsError: With one line for each problem.
     """
-    doc, lines, problems = _parse_fields(text, source)
-    try:
-        cfg = _File.model_validate(doc)
-    except ValidationError as exc:
-        for error in exc.errors():
-            path = ".".join(str(part) for part in error["loc"])
-            line = lines.get(path)
-            location = f"{source}:{line}" if line else source
-            problems.append(f"{location}: {path}: {error['msg']}")
+    fields, problems = _parse_fields(text, source)
+    values = {name: default for name, (_, default) in _OPTIONAL_FIELDS.items()}
+    types = _REQUIRED_FIELDS | {name: kind for name, (kind, _) in _OPTIONAL_FIELDS.items()}
+    for name, kind in types.items():
+        if name not in fields:
+            if name in _REQUIRED_FIELDS:
+                problems.append(f"{source}: {name}: the field is missing")
+            continue
+        line, value = fields[name]
+        try:
+            values[name] = msgspec.convert(value, kind, strict=False)
+        except msgspec.ValidationError as exc:
+            problems.append(f"{source}:{line}: {name}: {exc}")
     if problems:
         raise SettingsError(problems)
-    bounds = cfg.Terms.Bounds
-    first_port = int(cfg.Network.PortRange.partition(",")[0])
+    return _host_settings(values)
+
+
+def _host_settings(values: dict[str, Any]) -> HostSettings:
+    first_port = int(values["Network.PortRange"].partition(",")[0])
     return HostSettings(
-        name=cfg.Self.NodeId,
-        ip=cfg.Self.Ip,
-        domain=cfg.Self.Zone,
-        callers_address=cfg.Network.Bind.FrontAddr,
-        readiness_address=cfg.Network.Bind.Ready,
+        name=values["Self.NodeId"],
+        ip=values["Self.Ip"],
+        domain=values["Self.Zone"],
+        callers_address=values["Network.Bind.FrontAddr"],
+        readiness_address=values["Network.Bind.Ready"],
         peer_port=first_port,
         metrics_port=first_port + METRICS_PORT_OFFSET,
-        store_address=cfg.Platform.Platform.Addr,
-        heartbeat_seconds=cfg.Platform.HeartbeatMs / 1000,
-        cores=cfg.Self.Limits.CpuShare * cfg.Self.Limits.Cores,
-        link_mbps=cfg.Self.Limits.LinkMbps,
+        store_address=values["Platform.Platform.Addr"],
+        seed_ips=tuple(
+            seed.rpartition(":")[0] for seed in values["Network.Seeds"].split(",") if seed
+        ),
+        heartbeat_seconds=values["Platform.HeartbeatMs"] / 1000,
+        cores=values["Self.Limits.CpuShare"] * values["Self.Limits.Cores"],
+        link_mbps=values["Self.Limits.LinkMbps"],
+        max_row_bytes=int(values["Platform.Platform.RowBytes"]),
         bounds=Bounds(
-            max_grant_seconds=bounds.HoldMaxMs / 1000,
-            stop_grace_seconds=bounds.GraceS,
-            drain_seconds=bounds.DrainMs / 1000,
-            apply_seconds=bounds.ApplyMs / 1000,
-            evacuate_seconds=bounds.EvacuateMs / 1000,
-            contact_seconds=bounds.ContactMs / 1000,
-            retry_ratio=bounds.RetryRatio,
-            retry_slack=bounds.RetrySlack,
-            retry_window_seconds=bounds.RetryWindowS,
-            cold_multiplier=bounds.ColdMultiplier,
-            cold_slack=bounds.ColdSlack,
+            max_grant_seconds=values["Terms.Bounds.HoldMaxMs"] / 1000,
+            stop_grace_seconds=values["Terms.Bounds.GraceS"],
+            drain_seconds=values["Terms.Bounds.DrainMs"] / 1000,
+            apply_seconds=values["Terms.Bounds.ApplyMs"] / 1000,
+            evacuate_seconds=values["Terms.Bounds.EvacuateMs"] / 1000,
+            contact_seconds=values["Terms.Bounds.ContactMs"] / 1000,
+            retry_ratio=values["Terms.Bounds.RetryRatio"],
+            retry_slack=values["Terms.Bounds.RetrySlack"],
+            retry_window_seconds=values["Terms.Bounds.RetryWindowS"],
+            cold_multiplier=values["Terms.Bounds.ColdMultiplier"],
+            cold_slack=values["Terms.Bounds.ColdSlack"],
         ),
     )
 
 
-def _parse_fields(text: str, source: str) -> tuple[dict, dict[str, int], list[str]]:
-    """Return the fields as nested dictionaries, the line of each field, and the problems."""
-    doc: dict = {}
-    lines: dict[str, int] = {}
+def _parse_fields(text: str, source: str) -> tuple[dict[str, tuple[int, str]], list[str]]:
+    """Return the line number and value of each field, and the problems."""
+    fields: dict[str, tuple[int, str]] = {}
     problems: list[str] = []
     for number, line in enumerate(text.splitlines(), 1):
         if not line.strip() or line.startswith("#"):
             continue
-        path, separator, value = line.partition("=")
-        if not separator:
-            problems.append(f"{source}:{number}: expected a line of the form a.b=value")
-            continue
-        path = path.strip()
-        lines[path] = number
-        *parents, leaf = path.split(".")
-        table = doc
-        for parent in parents:
-            table = table.setdefault(parent, {})
-            if not isinstance(table, dict):
-                problems.append(f"{source}:{number}: {path}: {parent} already has a value")
-                break
+        name, separator, value = line.partition("=")
+        if separator:
+            fields[name.strip()] = (number, value.strip())
         else:
-            table[leaf] = value.strip()
-    return doc, lines, problems
+            problems.append(f"{source}:{number}: expected a line of the form a.b=value")
+    return fields, problems
--- /dev/null
+++ b/tests/test_platform/test_platform_catalog.py
@@ -0,0 +1,74 @@
+"""Decoding of targets' entries and of the configuration."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from radishshunt.errors import ProtocolError
+from radishshunt.platform.catalog import decode_configuration, decode_target
+from tests.test_gateway.conftest import CONFIGURATION, entry_value
+
+
+def _entry(path: str, value: object) -> bytes:
+    doc = json.loads(entry_value())
+    *parents, leaf = path.split(".")
+    table = doc
+    for parent in parents:
+        table = table[parent]
+    table[leaf] = value
+    return json.dumps(doc).encode()
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("Addr", 5),
+        ("Addr", "nowhere"),
+        ("Addr", "127.0.0.1:99999"),
+        ("Info.Service", ""),
+        ("Info.Service", None),
+        ("Info.Version", 3),
+        ("Info.Capacity", "3"),
+        ("Info.Capacity", 0),
+        ("Info.Capacity", True),
+        ("Status.State", "asleep"),
+        ("Status.Sequence", -1),
+        ("Status.WarmupLeftMs", "0"),
+        ("Status", []),
+        ("born", 1.5),
+    ],
+)
+def test_malformed_entry_names_no_target(path: str, value: object) -> None:
+    """Guards against requests to an address from an entry that another writer left."""
+    with pytest.raises(ProtocolError):
+        decode_target("i-1", _entry(path, value))
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"{}", b"null", b'{"Addr": "a:1"}'])
+def test_unreadable_entry_names_no_target(value: bytes) -> None:
+    """Guards against a follower that stops at bytes that cannot be read."""
+    with pytest.raises(ProtocolError):
+        decode_target("i-1", value)
+
+
+def test_unknown_fields_are_ignored() -> None:
+    """Guards against an entry that is refused because of a field of a later version."""
+    target = decode_target("i-1", _entry("Status.Mood", "good"))
+    assert (target.id, target.slots, target.incarnation) == ("i-1", 3, 1)
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"[]", b'{"Version": 1}', b'{"Version": "x"}'])
+def test_malformed_configuration_is_refused(value: bytes) -> None:
+    """Guards against serving by a configuration of which a part could not be read."""
+    with pytest.raises(ProtocolError):
+        decode_configuration(value)
+
+
+def test_route_without_a_service_is_refused() -> None:
+    """Guards against a route whose requests no service can run."""
+    doc = json.loads(json.dumps(CONFIGURATION))
+    del doc["Resources"][0]["Spec"]["Service"]
+    with pytest.raises(ProtocolError):
+        decode_configuration(json.dumps(doc).encode())
