--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -43,6 +43,8 @@
 SYNCHRONIZE_SECONDS = 0.5
 # The platform removes a host from rotation after two failed readiness checks, one per second.
 OUT_OF_ROTATION_SECONDS = 2.6
+# Path on the metrics port that tells which configuration is in force on each host.
+HOSTS_PATH = "/hosts"
 # A stopping host exits this long before the platform would kill it.
 STOP_MARGIN_SECONDS = 0.6
 
@@ -89,6 +91,8 @@
         self._metrics_server = HttpServer(
             self._metrics_app, f"{cfg.ip}:{cfg.metrics_port}", name="metrics"
         )
+        # Version of the configuration in force here, and since when.
+        self._own_version = (0, 0.0)
         self._host_count = HostCount(self.view.clock)
         self._supervisor = Supervisor(self.view.clock)
 
@@ -160,12 +164,26 @@
                 self.load_statistics.add_report(self.sender.report())
                 self._link_client.backups = self._link_server.backups
                 self._host_count.record(self._link_server.hosts)
+                self._log_hosts_behind()
             else:
                 self._link_server.backups = self._link_client.backups
                 self._link_server.known_hosts = max(1, self._link_client.hosts)
                 self._host_count.record(self._link_client.hosts)
             self.sender.chooser.hosts = self._host_count.largest
 
+    def _log_hosts_behind(self) -> None:
+        """Log hosts on which a configuration is not in force in time."""
+        cfg = self.view.cfg
+        if cfg is None:
+            return
+        if cfg.version != self._own_version[0]:
+            self._own_version = (cfg.version, self.view.clock.now())
+        behind = self._link_server.host_versions.newly_behind(
+            *self._own_version, self.cfg.bounds.apply_seconds
+        )
+        for host, version in behind.items():
+            decision("host-behind", behind=host, version=version, in_force=cfg.version)
+
     def _suspects(self) -> tuple[Suspect, ...]:
         return tuple(self.quarantine.suspects(self._wall_clock.now()))
 
@@ -182,11 +200,25 @@
         await _send_response(send, 200 if ready else 503, json.dumps({"ready": ready}).encode())
 
     async def _metrics_app(self, scope: Any, receive: Any, send: Any) -> None:
-        """Respond with the metrics of this host on every path."""
+        """Respond with the metrics of this host, or with the hosts and their configurations."""
+        if scope["path"] == HOSTS_PATH:
+            await _send_response(send, 200, json.dumps(self._hosts_document()).encode())
+            return
         self.metrics.running.set(self.caller_api.running)
         self.metrics.catalog_version.set(self.view.cfg.version if self.view.cfg else 0)
         await _send_response(send, 200, self.metrics.render())
 
+    def _hosts_document(self) -> dict[str, Any]:
+        """Return the configuration in force here and, on the leader, on all linked hosts."""
+        cfg = self.view.cfg
+        hosts = self._link_server.host_versions.document() if self.leadership.valid else []
+        return {
+            "host": self.cfg.name,
+            "configuration": cfg.version if cfg else 0,
+            "leader": self.view.leader.host,
+            "hosts": hosts,
+        }
+
 
 async def _send_response(send: Any, status: int, body: bytes) -> None:
     headers = [(b"content-length", str(len(body)).encode())]
--- a/radishshunt/gateway/gateway.capnp
+++ b/radishshunt/gateway/gateway.capnp
@@ -73,6 +73,8 @@
   suspects @3 :List(Suspect);
   # Only in the first report of a link.
   hello @4 :Hello;
+  # Version of the configuration in force on the host.
+  configuration @5 :UInt64;
 }
 
 struct TopicVersion {
--- a/radishshunt/gateway/link_client.py
+++ b/radishshunt/gateway/link_client.py
@@ -181,7 +181,11 @@
             versions=dict(self._view.versions),
         )
         while True:
-            await stream.send_all(encode(replace(self._build_report(), hello=hello)))
+            cfg = self._view.cfg
+            report = replace(
+                self._build_report(), hello=hello, configuration=cfg.version if cfg else 0
+            )
+            await stream.send_all(encode(report))
             hello = None
             await trio.sleep(message_interval(self.hosts))
 
--- a/radishshunt/gateway/link_server.py
+++ b/radishshunt/gateway/link_server.py
@@ -13,6 +13,7 @@
 
 from radishshunt.errors import ProtocolError
 from radishshunt.gateway.frames import FrameReader
+from radishshunt.gateway.host_versions import HostVersions
 from radishshunt.gateway.messages import Hello, Report, StateUpdate, encode
 from radishshunt.gateway.row_deltas import DeltaEncoder
 from radishshunt.gateway.rows import Change, Topic
@@ -77,6 +78,7 @@
     :param on_report: Called with each load report of a host while this host leads.
     :param get_suspects: Returns the requests suspected of crashing targets.
     :ivar backups: Addresses of the backup hosts that the leader has named last.
+    :ivar host_versions: Configuration in force on the hosts that are linked to this one.
     :ivar known_hosts: Number of hosts that the leader has stated last, including the leader.
     """
 
@@ -89,6 +91,7 @@
         get_suspects: Callable[[], tuple[Suspect, ...]],
     ) -> None:
         self.backups: tuple[str, ...] = ()
+        self.host_versions = HostVersions(view.clock)
         self.known_hosts = 1
         self._cfg = cfg
         self._view = view
@@ -222,6 +225,7 @@
         finally:
             if link is not None:
                 self._links.discard(link)
+                self.host_versions.remove(msg.host)
                 self._update_backups()
             stream.socket.close()
 
@@ -233,6 +237,7 @@
             if self._is_leader():
                 was_leader = True
                 if isinstance(msg, Report):
+                    self.host_versions.record(msg.host, msg.configuration)
                     self._on_report(msg)
             elif was_leader:
                 return
--- a/radishshunt/gateway/messages.py
+++ b/radishshunt/gateway/messages.py
@@ -90,6 +90,7 @@
     :param work_times: Work times of the targets that responded since the last report.
     :param suspects: Requests that were running on targets when these were lost.
     :param hello: Introduction of the host, in the first report of a link.
+    :param configuration: Version of the configuration in force on the host, 0 if there is none.
     """
 
     host: str
@@ -97,6 +98,7 @@
     work_times: tuple[TargetWorkTime, ...] = ()
     suspects: tuple[Suspect, ...] = ()
     hello: Hello | None = None
+    configuration: int = 0
 
 
 def encode(msg: StateUpdate | Report) -> bytes:
@@ -134,6 +136,7 @@
                 for item in msg.work_times
             ],
             "suspects": _suspect_fields(msg.suspects),
+            "configuration": msg.configuration,
         }
         if msg.hello is not None:
             report["hello"] = _hello_fields(msg.hello)
@@ -242,7 +245,7 @@
     )
     suspects = _decode_suspects(report.suspects)
     hello = _decode_hello(report.hello) if report._has("hello") else None
-    return Report(report.host, request_counts, work_times, suspects, hello)
+    return Report(report.host, request_counts, work_times, suspects, hello, report.configuration)
 
 
 def _hello_fields(hello: Hello) -> dict:
--- a/tests/test_gateway/test_gateway_links.py
+++ b/tests/test_gateway/test_gateway_links.py
@@ -13,6 +13,7 @@
 from radishshunt.gateway.follower import POLL_PAUSE_SECONDS
 from radishshunt.gateway.frames import FrameReader
 from radishshunt.gateway.host_count import HostCount
+from radishshunt.gateway.host_versions import HostVersions
 from radishshunt.gateway.key_maps import encode_key_map
 from radishshunt.gateway.link_client import LinkClient
 from radishshunt.gateway.link_server import (
@@ -273,3 +274,25 @@
         await trio.sleep(0.2)
         count.record(60)
     assert count.largest == 60
+
+
+async def test_host_that_lags_behind_is_named_once(autojump_clock) -> None:
+    # Guards against operators who cannot tell which host still serves an older configuration.
+    clock = TrioClock()
+    versions = HostVersions(clock)
+    for host in ("host-1", "host-2", "host-3"):
+        versions.record(host, 7)
+    changed_at = clock.now()
+    versions.record("host-1", 8)
+    assert versions.newly_behind(8, changed_at, 2.0) == {}
+    await trio.sleep(2.5)
+    versions.record("host-3", 8)
+    assert versions.newly_behind(8, changed_at, 2.0) == {"host-2": 7}
+    assert versions.newly_behind(8, changed_at, 2.0) == {}
+    assert versions.document() == [
+        {"host": "host-1", "configuration": 8, "seconds": 2.5},
+        {"host": "host-2", "configuration": 7, "seconds": 2.5},
+        {"host": "host-3", "configuration": 8, "seconds": 0.0},
+    ]
+    versions.remove("host-2")
+    assert versions.newly_behind(9, changed_at, 2.0) == {"host-1": 8, "host-3": 8}
--- a/tests/test_gateway/test_gateway_store_calls.py
+++ b/tests/test_gateway/test_gateway_store_calls.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+import httpx
 import pytest
 import trio
 
@@ -159,3 +160,17 @@
             assert reads == 0, (index, running_system.stores[index].reads)
         assert host.view.complete
         assert host.leadership.valid or host._link_client.fresh
+
+
+async def test_leader_tells_the_configuration_of_each_host(running_system: RunningSystem) -> None:
+    """Guards against operators who cannot tell which configuration each host serves."""
+    await trio.sleep(0.5)
+    leader = next(host for host in running_system.hosts if host.leadership.valid)
+    async with httpx.AsyncClient(trust_env=False) as client:
+        url = f"http://{leader.cfg.ip}:{leader.cfg.metrics_port}/hosts"
+        doc = (await client.get(url)).json()
+    assert doc["leader"] == doc["host"] == leader.cfg.name
+    assert doc["configuration"] == CONFIGURATION["Version"]
+    others = {host.cfg.name for host in running_system.hosts} - {leader.cfg.name}
+    assert {item["host"] for item in doc["hosts"]} == others
+    assert {item["configuration"] for item in doc["hosts"]} == {CONFIGURATION["Version"]}
