Keep retry budgets when the settings are read again

Cause: each reload of the settings created full budgets, so that files that change often would permit more retries than the operators do. Found by reading.

Change: budgets are resized, and none of their tokens come back.

Result: a test that failed before (the budget was full again after a reload).

--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -113,7 +113,9 @@
         """Apply changed bounds."""
         self._cfg = cfg
         self.chooser.update_settings(cfg)
-        self._budgets.clear()
+        for budget in self._budgets.values():
+            # A new budget would be full, so that each reload would permit more retries.
+            budget.resize(self._max_retries(), cfg.bounds.retry_ratio * RETRY_BUDGET_SHARE)
 
     def report(self) -> Report:
         """Return the load since the last report, for the leader."""
@@ -365,17 +367,20 @@
 
     def _budget(self, service: Service) -> TokenBudget:
         """Return this host's share of the retry budget of all hosts."""
-        bounds = self._cfg.bounds
-        slack = bounds.retry_slack * RETRY_BUDGET_SHARE / self.chooser.hosts
+        slack = self._max_retries()
         budget = self._budgets.get(service.name)
         if budget is None:
             budget = self._budgets[service.name] = TokenBudget(
-                bounds.retry_ratio * RETRY_BUDGET_SHARE, slack
+                self._cfg.bounds.retry_ratio * RETRY_BUDGET_SHARE, slack
             )
         elif budget.capacity != slack:
             budget.resize(slack)
         return budget
 
+    def _max_retries(self) -> float:
+        """Return this host's share of the retries that are allowed at once."""
+        return self._cfg.bounds.retry_slack * RETRY_BUDGET_SHARE / self.chooser.hosts
+
     def _count_request(self, service: Service, req: CallerRequest) -> None:
         self._budget(service).earn()
         if service.keyed and req.key is not None:
--- a/radishshunt/policy/budgets.py
+++ b/radishshunt/policy/budgets.py
@@ -34,8 +34,12 @@
         """Maximum number of tokens."""
         return self._max_tokens
 
-    def resize(self, max_tokens: float) -> None:
-        """Change the maximum number of tokens; tokens above it are lost."""
+    def resize(self, max_tokens: float, ratio: float | None = None) -> None:
+        """Change the maximum number of tokens; tokens above it are lost, and none are added.
+
+        :param ratio: New number of tokens earned with each first attempt, if it changes.
+        """
+        self._ratio = self._ratio if ratio is None else ratio
         self._max_tokens = max_tokens
         self._tokens = min(self._tokens, max_tokens)
 
--- a/tests/test_gateway/test_gateway_sender.py
+++ b/tests/test_gateway/test_gateway_sender.py
@@ -231,3 +231,17 @@
     result = await _send(cfg, target, "/reads/1", 3.0, b"", retries=False)
     assert result.status == 200
     assert target.requests == 1
+
+
+async def test_reload_of_the_settings_permits_no_further_retries(
+    autojump_clock: object, cfg: HostSettings, view: View
+) -> None:
+    """Guards against retries that multiply, as the settings files of all hosts change often."""
+    sender = Sender(cfg, view, HttpTargetProtocol(), Quarantine(), SystemClock())
+    apply_row(view, Topic.OPERATOR, "config", json.dumps(CONFIGURATION).encode(), 1)
+    assert view.cfg is not None
+    budget = sender._budget(view.cfg.services["register"])
+    while budget.spend():
+        pass
+    sender.update_settings(cfg)
+    assert not sender._budget(view.cfg.services["register"]).spend()
