Let a stopping host wait for slow answers of reads

Change: a stopping host gives no read up before its deadline.

Result: a test that failed before (the read was sent twice).

--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -126,7 +126,7 @@
         It returns at the latest :data:`STOP_MARGIN_SECONDS` before the grace period ends.
         """
         stop_at = trio.current_time() + self.cfg.bounds.stop_grace_seconds - STOP_MARGIN_SECONDS
-        self.stopping = True
+        self.stopping = self.sender.stopping = True
         self._caller_server.close_after_response = True
         decision("stop", running=self.caller_api.running)
         await self.leadership.release_lease()
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -84,6 +84,8 @@
     """Routes requests to targets.
 
     :ivar chooser: Chooses targets and holds what this host observes of them.
+    :ivar stopping: Whether the host is stopping. Requests that targets are working on are answered
+        then, however long that takes.
     :ivar request_counts: Number of requests since the last report, by service and key.
     """
 
@@ -101,6 +103,7 @@
         self._crash_check_queue, self._crash_checks = trio.open_memory_channel[_LostRequest](
             MAX_PENDING_CRASH_CHECKS
         )
+        self.stopping = False
         self.request_counts: dict[str, dict[int, int]] = {}
         self._cfg = cfg
         self._view = view
@@ -141,6 +144,8 @@
         """
         while True:
             await trio.sleep(SILENCE_CHECK_SECONDS)
+            if self.stopping:
+                continue
             now = trio.current_time()
             for attempts, exchange in self._exchanges.items():
                 if exchange.silent_at <= now and self._may_retry(exchange.route, exchange.service):
--- a/tests/test_gateway/test_gateway_sender.py
+++ b/tests/test_gateway/test_gateway_sender.py
@@ -80,6 +80,7 @@
     body: bytes,
     *,
     retries: bool = True,
+    stopping: bool = False,
 ):
     view = View(CatalogReader(), TrioClock())
     sender = Sender(cfg, view, HttpTargetProtocol(), Quarantine(), SystemClock())
@@ -96,6 +97,7 @@
         route = view.find_route(req.host, req.path)
         assert route is not None
         assert view.cfg is not None
+        sender.stopping = stopping
         if not retries:
             while sender._budget(view.cfg.services["register"]).spend():
                 pass
@@ -245,3 +247,20 @@
         pass
     sender.update_settings(cfg)
     assert not sender._budget(view.cfg.services["register"]).spend()
+
+
+async def test_stopping_host_waits_for_the_slow_answer_of_a_read(cfg: HostSettings) -> None:
+    """Guards against a planned stop that gives up requests at which targets are at work.
+
+    Seen in scale-1, trouble-2 and trouble-3 of faelg-gw.
+    """
+
+    async def respond(stream: trio.SocketStream, number: int) -> bool:
+        await trio.sleep(0.8)
+        await stream.send_all(OK)
+        return True
+
+    target = _Target(respond)
+    result = await _send(cfg, target, "/reads/1", 3.0, b"", stopping=True)
+    assert result.status == 200
+    assert target.requests == 1
