Send a few more requests to unreported targets when hosts are few

With ten hosts, one request at a time to a target without a recent report, the overload gate at 1.8 and 1.3, and moves only at two standard deviations each refused or delayed requests that were served before.

--- a/radishshunt/placement/key_ranges.py
+++ b/radishshunt/placement/key_ranges.py
@@ -33,7 +33,7 @@
 # A wide piece moves away from a target only if its load exceeds the limit by more than this many
 # standard deviations of the measurement. Slow targets get so few requests in the time window that
 # chance alone makes one of them seem overloaded in each round.
-CERTAINTY_DEVIATIONS = 2.0
+CERTAINTY_DEVIATIONS = 1.25
 # A piece of at most this share of a target's mean number of keys is not wide.
 NARROW_SHARE = 0.125
 # A move must lower the higher utilization of its two targets by at least this much.
--- a/radishshunt/policy/direct/lane.py
+++ b/radishshunt/policy/direct/lane.py
@@ -13,8 +13,9 @@
 # Number of requests that are sent beyond the slots, so that a free slot does not stay empty for a
 # round trip.
 SEND_AHEAD_REQUESTS = 2
-# Number of requests that a host sends to a target without a recent report of its load.
-UNREPORTED_REQUESTS = 1
+# Number of requests, over all hosts and for each slot, that are sent to a target without a recent
+# report of its load. Each host may send one.
+UNREPORTED_REQUESTS_PER_SLOT = 8
 # Up to this number of hosts for each slot, one request of each of them does not overload a target.
 FEW_HOSTS_PER_SLOT = 4
 
@@ -59,8 +60,8 @@
     ) -> bool:
         """Return whether a request is first in the queue and may be sent to the target now.
 
-        Without a recent report, a host sends one request to learn the load: the other hosts may
-        have found the same target at the same time. A few hosts together may also send one each to
+        Without a recent report, a host sends one request or a few to learn the load: the other
+        hosts may have found the same target at the same time. A few hosts together may also send one each to
         a target that was full, as its queue has room for them and their view may be out of date.
 
         :param occupancy: Expected number of requests of all hosts at the target.
@@ -72,7 +73,7 @@
         if self._waiting and self._waiting[0] != entry:
             return False
         if not reported:
-            return own_requests < UNREPORTED_REQUESTS
+            return own_requests < max(1, UNREPORTED_REQUESTS_PER_SLOT * slots // hosts)
         if own_requests == 0 and hosts <= FEW_HOSTS_PER_SLOT * slots:
             return True
         return occupancy < slots + SEND_AHEAD_REQUESTS
--- a/radishshunt/policy/direct/overload.py
+++ b/radishshunt/policy/direct/overload.py
@@ -14,9 +14,9 @@
 # Ratio of offered load to capacity from which requests are shed. The measured load of a slow target
 # deviates by half from one second to the next, and its work time by as much right after an
 # overload. A hot set of keys that is not spread yet reaches a ratio of 15.
-SHEDDING_LOAD_RATIO = 1.8
+SHEDDING_LOAD_RATIO = 2.5
 # Ratio of admitted load of all hosts to capacity; above 1 for the same reason.
-ADMITTED_LOAD_RATIO = 1.3
+ADMITTED_LOAD_RATIO = 1.8
 # Share of the mean admission rate that less urgent requests always get.
 MIN_NON_URGENT_SHARE = 0.5
 # Weight of one request in the moving average of the share of urgent requests.
