--- a/radishshunt/policy/direct/lane.py
+++ b/radishshunt/policy/direct/lane.py
@@ -61,8 +61,9 @@
         """Return whether a request is first in the queue and may be sent to the target now.
 
         Without a recent report, a host sends one request or a few to learn the load: the other
-        hosts may have found the same target at the same time. A few hosts together may also send one each to
-        a target that was full, as its queue has room for them and their view may be out of date.
+        hosts may have found the same target at the same time. A few hosts together may also send
+        one each to a target that was full, as its queue has room for them and their view may be out
+        of date.
 
         :param occupancy: Expected number of requests of all hosts at the target.
         :param slots: Number of requests that the target runs concurrently.
