Log each key map that a term starts from, and why moved keys are free

The logs of a host could not tell a leader that starts from an older key map from one whose renewals and key map have come apart: neither the version of the key map nor its writes and conflicts, nor how the former owner's hold of moved keys ended, were logged.

--- a/radishshunt/gateway/key_mover.py
+++ b/radishshunt/gateway/key_mover.py
@@ -160,6 +160,13 @@
             # The previous leader may have allocated tokens that it did not write.
             keys.next_unused_fence = index.next_fence + MAX_UNWRITTEN_FENCES
             self.services[name] = keys
+            decision(
+                "key-map",
+                service=name,
+                version=keys.version,
+                ranges=len(keys.key_map.ranges),
+                reason="term-start",
+            )
             for key_range in keys.key_map.ranges:
                 self._record_earlier_grant(key_range, name, unknown_grants_expiry)
 
@@ -340,26 +347,44 @@
         return True
 
     async def _release_range(self, keys: ServiceKeys, owner: KeyRange) -> str:
+        """Wait until a former owner no longer holds a range, and return its handover text."""
+        handover, reason = await self._end_hold(keys, owner)
+        decision(
+            "keys-free",
+            target=owner.target,
+            first=owner.first,
+            last=owner.last,
+            fence=owner.fence,
+            reason=reason,
+        )
+        return handover
+
+    async def _end_hold(self, keys: ServiceKeys, owner: KeyRange) -> tuple[str, str]:
+        """Release a range, or wait until its owner cannot hold it any more.
+
+        :return: Handover text, empty if there is none, and the reason why the range is free.
+        """
         grants = self.grants.get((owner.target, owner.incarnation))
         if grants is None:
             await self._wait_for_expiry(self._unknown_grants_expiry(), owner)
-            return ""
+            return "", "no-record"
         granted_range = grants.stop_renewing(owner.first, owner.last)
         if granted_range is None:
             await self._wait_for_expiry(self._unknown_grants_expiry(), owner)
-            return ""
+            return "", "no-record"
         released_from: set[int] = set()
         while not self._owner_process_ended(owner):
             incarnation = self._current_incarnation(owner)
             released_from.add(incarnation)
             release = await grants.release(granted_range, keys.allocate_fence)
             if release.done:
-                return release.handover if incarnation == owner.incarnation else ""
+                current = incarnation == owner.incarnation
+                return release.handover if current else "", "released"
             decision("release-failed", target=owner.target, first=owner.first, last=owner.last)
             await self._wait_for_expiry(release.until, owner, released_from)
             if self._clock.now() >= release.until:
-                break
-        return ""
+                return "", "expired"
+        return "", "process-ended"
 
     def _current_incarnation(self, owner: KeyRange) -> int:
         """Return the incarnation that is registered under the name of a range's owner."""
@@ -476,9 +501,22 @@
                 if row is None or row.version == keys.version:
                     continue
                 if row.value != rows[row_key]:
+                    decision(
+                        "key-map-conflict",
+                        service=service,
+                        version=keys.version,
+                        stored_version=row.version,
+                    )
                     raise LeaseLost
                 version = row.version
             keys.key_map, keys.version, keys.parts, keys.written = new, version, parts, rows
+            decision(
+                "key-map",
+                service=service,
+                version=version,
+                ranges=len(new.ranges),
+                reason="written",
+            )
             self._leadership.apply_written_rows(
                 tuple(Row(key, version, value) for key, value in changed)
             )
