--- a/tests/test_gateway/test_gateway_links.py
+++ b/tests/test_gateway/test_gateway_links.py
@@ -180,6 +180,52 @@
     assert not client.fresh
 
 
+def _key_map_row(version: int, owner: str) -> Row:
+    """Return the row of a key map that is large enough to be sent as a delta."""
+    ranges = [KeyRange(n * 1024, n * 1024 + 1023, f"i-{n}", 1, n + 1) for n in range(64)]
+    ranges[0] = KeyRange(0, 1023, owner, 1, 100 + version)
+    return Row("keys/register", version, encode_key_map(KeyMap(tuple(ranges), 200)))
+
+
+async def _last_update_of_a_stopped_leader(topic: Topic, old: Row, new: Row) -> StateUpdate:
+    """Return the update with a row that the leader wrote while it was told to stop."""
+    leader_view = View(CatalogReader(), TrioClock())
+    cfg = HostSettings("host-1", "127.0.0.1", "munich", "", "", 1, 0, "")
+    leading = True
+    server = LinkServer(cfg, leader_view, lambda: leading, lambda report: None, tuple)
+    server_stream, client_stream = trio.testing.memory_stream_pair()
+    server_stream.socket = client_stream.socket = SimpleNamespace(close=lambda: None)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server._serve, server_stream)
+        nursery.start_soon(server._send_updates)
+        await client_stream.send_all(encode(Report("host-2", {})))
+        reader = FrameReader(client_stream)
+        await reader.read()
+        for row in (old, new):
+            leading = row is old
+            leader_view.apply(Change(topic, (row,), row.version, whole=False))
+            update = await reader.read()
+            while not update.changes:
+                update = await reader.read()
+        nursery.cancel_scope.cancel()
+    assert not update.leading
+    return update
+
+
+async def test_two_targets_do_not_hold_a_key_after_the_leader_stops_during_a_move(
+    autojump_clock, view, link
+) -> None:
+    # Guards against a host that leads with the key map of before the last move, because it took
+    # the delta in the last update of a leader that had just stopped for the whole row.
+    old, new = _key_map_row(5, "i-old"), _key_map_row(6, "i-new")
+    view.apply(Change(Topic.OWN, (old,), 5, whole=False))
+    link._apply_hint(await _last_update_of_a_stopped_leader(Topic.OWN, old, new))
+    # What a new leader reads from the store at the start of its term.
+    view.apply(Change(Topic.OWN, (new,), 7, whole=True))
+    assert view.find_key_range("register", 0).target == "i-new"
+    assert view.key_map_versions["register"] == 6
+
+
 async def test_host_follows_another_one_that_does_not_lead_but_knows_the_state(
     autojump_clock, view
 ) -> None:
