Decode deltas in the last update of a leader that has stopped

Cause: a leader that stops sends the rows that it wrote last in an update in which it no longer leads. LinkClient._apply_hint applied the rows of such an update without decoding their deltas. View.apply ignored the malformed key map, but recorded its version as known, and therefore ignored the same version when the host led later and read all rows. It renewed the owners of the key map of before; its own writes conflicted with the row, which ended its term, and the next term started from the same key map. The next process that led read the right one, while the earlier owner still held the keys. Class of fault: a version is taken for known before the content has been taken in.

Hints are now decoded like other updates, View.apply refuses deltas, and a row of the router's own table that cannot be decoded is not recorded, so that the row itself is applied when it arrives. The operators' configuration came the same way, and was lost the same way; it has a test of its own.

--- a/radishshunt/gateway/link_client.py
+++ b/radishshunt/gateway/link_client.py
@@ -223,20 +223,27 @@
                 self._leader_avoided_until = self._view.clock.now() + LEADER_CHECK_SECONDS
                 return
 
-    def _apply_hint(self, update: StateUpdate) -> None:
-        """Learn from a host that does not lead who does."""
+    def _apply_changes(self, update: StateUpdate) -> None:
         for change in update.changes:
-            self._view.apply(change)
+            self._view.apply(decode_deltas(change, self._view.rows[change.topic]))
+
+    def _apply_hint(self, update: StateUpdate) -> None:
+        """Learn from a host that does not lead who does.
+
+        If the host led until now, the update has the last rows that it wrote, maybe as deltas.
+
+        :raises ProtocolError: If it contains a delta to a row that this host does not have.
+        """
+        self._apply_changes(update)
         if not self.backups:
             self.backups = update.backups
 
     def apply_update(self, update: StateUpdate) -> None:
         """Apply an update from the leader or from a backup.
 
-        :raises ProtocolError: If it contains a difference to a row that this host does not have.
+        :raises ProtocolError: If it contains a delta to a row that this host does not have.
         """
-        for change in update.changes:
-            self._view.apply(decode_deltas(change, self._view.rows[change.topic]))
+        self._apply_changes(update)
         self._view.set_moving(update.moving)
         self._view.overloaded = update.overloaded
         self._on_suspects(update.suspects)
--- a/radishshunt/gateway/view.py
+++ b/radishshunt/gateway/view.py
@@ -137,7 +137,12 @@
         return self.clock.now() - oldest
 
     def apply(self, change: Change) -> None:
-        """Apply changed rows; versions of a row that are not newer are ignored."""
+        """Apply changed rows; versions of a row that are not newer are ignored.
+
+        :raises ProtocolError: If a row is a delta that has not been decoded.
+        """
+        if any(row.base for row in change.rows):
+            raise ProtocolError(f"change of topic {change.topic.value} contains a delta")
         known_rows = self.rows[change.topic]
         if change.whole:
             if change.version < self.versions[change.topic]:
@@ -163,9 +168,11 @@
                 removals[row.key] = (row.version, self.clock.now())
                 self._apply_removal(change.topic, row.key)
             else:
+                if not self._apply_row(change.topic, row) and change.topic is Topic.OWN:
+                    # Only a copy of the row can be malformed, so the row itself is still unknown.
+                    continue
                 removals.pop(row.key, None)
                 known_rows[row.key] = row
-                self._apply_row(change.topic, row)
         if change.version > self.versions[change.topic] or change.rows:
             self.versions[change.topic] = max(self.versions[change.topic], change.version)
             self._notify(change)
@@ -266,7 +273,11 @@
         for listener in self.listeners:
             listener(change)
 
-    def _apply_row(self, topic: Topic, row: Row) -> None:
+    def _apply_row(self, topic: Topic, row: Row) -> bool:
+        """Apply a row that exists.
+
+        :return: Whether the row is well-formed.
+        """
         try:
             if topic is Topic.OPERATOR:
                 self._apply_operator_row(row)
@@ -278,6 +289,8 @@
             logger.warning("ignoring row %s of topic %s: %s", row.key, topic.value, exc)
             if topic is Topic.TARGETS:
                 self._apply_removal(topic, row.key)
+            return False
+        return True
 
     def _apply_operator_row(self, row: Row) -> None:
         domain = self._reader.evacuated_domain(row.key)
--- a/tests/test_gateway/test_gateway_links.py
+++ b/tests/test_gateway/test_gateway_links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import replace
 from types import SimpleNamespace
 
@@ -10,6 +11,7 @@
 import trio.testing
 
 from radishshunt.clock import TrioClock
+from radishshunt.errors import ProtocolError
 from radishshunt.gateway.follower import POLL_PAUSE_SECONDS
 from radishshunt.gateway.frames import FrameReader
 from radishshunt.gateway.host_count import HostCount
@@ -24,10 +26,12 @@
 )
 from radishshunt.gateway.messages import Hello, Report, StateUpdate, decode, encode
 from radishshunt.gateway.model import LAST_KEY, KeyMap, KeyRange
+from radishshunt.gateway.row_deltas import MIN_DELTA_ROW_BYTES
 from radishshunt.gateway.rows import Change, Row, Topic
 from radishshunt.gateway.settings import Bounds, HostSettings
 from radishshunt.gateway.view import LEADER_KEY, View
 from radishshunt.platform.catalog import CatalogReader
+from tests.test_gateway.conftest import CONFIGURATION
 
 # Time within which operators require a new configuration to be in force on all hosts.
 APPLY_SECONDS = 2.0
@@ -226,6 +230,33 @@
     assert view.key_map_versions["register"] == 6
 
 
+async def test_configuration_in_the_last_update_of_a_stopped_leader_is_in_force(
+    autojump_clock, view, link
+) -> None:
+    # Guards against a configuration that a host never applies, because it came as a delta in the
+    # last update of a leader that had just stopped.
+    resources = CONFIGURATION["Resources"] * 2
+    old, new = (
+        Row("config", n, json.dumps({"Version": n, "Resources": resources}).encode())
+        for n in (8, 9)
+    )
+    assert len(new.value) >= MIN_DELTA_ROW_BYTES
+    view.apply(Change(Topic.OPERATOR, (old,), 8, whole=False))
+    link._apply_hint(await _last_update_of_a_stopped_leader(Topic.OPERATOR, old, new))
+    assert view.cfg.version == 9
+
+
+async def test_malformed_copy_of_a_row_does_not_hide_the_row_itself(autojump_clock, view) -> None:
+    # Guards against a leader with an outdated key map, because it has seen its newest version in a
+    # form that cannot be decoded.
+    view.apply(Change(Topic.OWN, (_key_map_row(5, "i-old"),), 5, whole=False))
+    view.apply(Change(Topic.OWN, (Row("keys/register", 6, b"\xff"),), 6, whole=False))
+    view.apply(Change(Topic.OWN, (_key_map_row(6, "i-new"),), 7, whole=True))
+    assert view.find_key_range("register", 0).target == "i-new"
+    with pytest.raises(ProtocolError):
+        view.apply(Change(Topic.OWN, (Row("keys/register", 8, b"x", base=6),), 8, whole=False))
+
+
 async def test_host_follows_another_one_that_does_not_lead_but_knows_the_state(
     autojump_clock, view
 ) -> None:
