Start the fencing tokens of each term at the store's time

Callers could see a key move with a fencing token that its former owner had already, or with a lower one (OWNER).

Cause: start_term let tokens start 1000 above the last written one. A term that raises tokens before releases and ends before it writes a key map leaves the written number as it was, so that the next term allocates the same tokens again.

The store tells its steady time in each answer to a transaction. Leadership keeps the one of the acquisition of the lease, and tokens start at 100 for each ms of it. A later term starts at a later time, and a term allocates fewer tokens than that, so that its tokens are above all earlier ones, written or not. This also holds if the store loses writes.

--- a/radishshunt/gateway/key_mover.py
+++ b/radishshunt/gateway/key_mover.py
@@ -47,6 +47,9 @@
 COMMIT_RETRY_SECONDS = 0.1
 # Fencing tokens that a leader may allocate between two writes of a key map.
 MAX_UNWRITTEN_FENCES = 1000
+# The tokens of a term start at this multiple of the store's time in ms, so that those of later
+# terms are higher whether they were written or not. A term must not allocate more in each ms.
+FENCES_PER_MS = 100
 
 
 @dataclass(slots=True, eq=False)
@@ -158,7 +161,9 @@
             parts = len(index.parts) if len(index.parts) > 1 else 0
             keys = ServiceKeys(index.key_map, self._view.key_map_versions[name], parts)
             # The previous leader may have allocated tokens that it did not write.
-            keys.next_unused_fence = index.next_fence + MAX_UNWRITTEN_FENCES
+            keys.next_unused_fence = max(
+                index.next_fence + MAX_UNWRITTEN_FENCES, self._first_fence()
+            )
             self.services[name] = keys
             decision(
                 "key-map",
@@ -170,6 +175,10 @@
             for key_range in keys.key_map.ranges:
                 self._record_earlier_grant(key_range, name, unknown_grants_expiry)
 
+    def _first_fence(self) -> int:
+        """Return a fencing token above all that earlier terms have allocated."""
+        return self._leadership.acquired_ms * FENCES_PER_MS
+
     def end_term(self) -> None:
         """Close the connections.
 
@@ -182,6 +191,7 @@
     def assign_initial_owners(self, service: str, moves: list[KeyRangeMove]) -> None:
         """Assign the keys of a service to their first owners."""
         keys = self.services[service] = ServiceKeys(KeyMap(), 0)
+        keys.next_unused_fence = self._first_fence()
         for move in moves:
             active_move = ActiveMove(service, move.first, move.last, "", move.to)
             keys.moves.append(active_move)
--- a/radishshunt/gateway/leadership.py
+++ b/radishshunt/gateway/leadership.py
@@ -51,6 +51,7 @@
 
     :ivar term: Random identifier of this host's term; empty while it does not lead.
     :ivar resumed: Whether no other host has led since this host's last term.
+    :ivar acquired_ms: Time of the store's clock at the start of the term.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
     ) -> None:
         self.term = ""
         self.resumed = False
+        self.acquired_ms = 0
         self._last_term = ""
         self._cfg = cfg
         self._view = view
@@ -191,6 +193,7 @@
             version = row.version
         self.resumed = bool(self._last_term) and self._view.leader.term == self._last_term
         self.term = self._last_term = term
+        self.acquired_ms = result.time_ms
         self._version = version
         self._rows_read = False
         self.apply_written_rows((Row(LEADER_KEY, version, value),))
--- a/radishshunt/gateway/rows.py
+++ b/radishshunt/gateway/rows.py
@@ -59,11 +59,13 @@
     :param done: Whether the transaction was applied.
     :param version: Version of the written rows if the transaction was applied.
     :param current: Rows that did not have the expected version, by key.
+    :param time_ms: Time of the store's steady clock, 0 if unknown.
     """
 
     done: bool
     version: int
     current: dict[str, Row] = field(default_factory=dict)
+    time_ms: int = 0
 
 
 class HistoryLost(Exception):
--- a/radishshunt/platform/fakes.py
+++ b/radishshunt/platform/fakes.py
@@ -80,7 +80,7 @@
             for key in sorted(self._rows)
             if key[0] == table and self._rows[key][1] is not None
         ]
-        return {"Rows": rows, "HasMore": False, "RowVersion": self._version}
+        return {"Rows": rows, "HasMore": False, **self._state()}
 
     async def _changes(self, query: dict[str, str]) -> dict[str, Any]:
         after, ends_at = int(query["after"]), trio.current_time() + int(query["WaitMs"]) / 1000
@@ -92,7 +92,7 @@
             ]
             if changed or trio.current_time() >= ends_at:
                 rows = [self._row(key) for key in sorted(changed, key=lambda k: self._rows[k][0])]
-                return {"Rows": rows, "RowVersion": self._version}
+                return {"Rows": rows, **self._state()}
             await trio.sleep(POLL_INTERVAL_SECONDS)
 
     def _transact(self, doc: dict[str, Any]) -> tuple[int, dict[str, Any]]:
@@ -101,12 +101,16 @@
         if mismatched:
             return 412, {
                 "Rows": [self._row(key) for key in mismatched],
-                "RowVersion": self._version,
+                **self._state(),
             }
         self._version += 1
         for row in doc["Puts"]:
             self._rows[row["Table"], row["Key"]] = (self._version, row["Value"])
-        return 200, {"RowVersion": self._version}
+        return 200, self._state()
+
+    def _state(self) -> dict[str, int]:
+        """Return the newest version and the time, which are in all answers about rows."""
+        return {"RowVersion": self._version, "TimeMs": round(time.monotonic() * 1000)}
 
     def _current_version(self, key: tuple[str, str]) -> int:
         version, value = self._rows.get(key, (0, None))
--- a/radishshunt/platform/store.py
+++ b/radishshunt/platform/store.py
@@ -91,11 +91,13 @@
         except ExchangeError as exc:
             raise PlatformOutcomeUnknown(f"commit: {exc}") from exc
         if answer.status == CONDITION_FAILED_STATUS:
-            current = {row.key: row for row in _decode_rows(_decode_object(answer).get("Rows", []))}
-            return Commit(done=False, version=0, current=current)
+            doc = _decode_object(answer)
+            current = {row.key: row for row in _decode_rows(doc.get("Rows", []))}
+            return Commit(False, 0, current, _time_ms(doc))
         if answer.status != OK_STATUS:
             raise PlatformOutcomeUnknown(f"commit: status {answer.status}")
-        return Commit(done=True, version=int(_decode_object(answer)["RowVersion"]))
+        doc = _decode_object(answer)
+        return Commit(True, int(doc["RowVersion"]), time_ms=_time_ms(doc))
 
     async def _read_call(self, path: str, query: dict[str, Any], wait: float) -> dict[str, Any]:
         try:
@@ -151,6 +153,11 @@
     return doc
 
 
+def _time_ms(doc: dict[str, Any]) -> int:
+    """Return the time of the store's steady clock in an answer, 0 if there is none."""
+    return int(doc.get("TimeMs") or 0)
+
+
 def _decode_rows(items: Any) -> list[Row]:
     rows = []
     for item in items:
--- a/tests/support/grant_simulation.py
+++ b/tests/support/grant_simulation.py
@@ -124,17 +124,18 @@
 
     def _apply(self, checks: dict[str, int], writes: Sequence[tuple[str, bytes]]) -> Commit:
         absent = Row("", 0, None)
+        time_ms = round(trio.current_time() * 1000)
         mismatched = {
             key: self.rows.get(key, absent)
             for key, version in checks.items()
             if self.rows.get(key, absent).version != version
         }
         if mismatched:
-            return Commit(done=False, version=0, current=mismatched)
+            return Commit(False, 0, mismatched, time_ms)
         self._version += 1
         for key, value in writes:
             self.rows[key] = Row(key, self._version, value)
-        return Commit(done=True, version=self._version)
+        return Commit(True, self._version, time_ms=time_ms)
 
 
 class _Connection:
--- a/tests/test_gateway/conftest.py
+++ b/tests/test_gateway/conftest.py
@@ -111,7 +111,7 @@
             if self.rows.get(key, absent).version != version
         }
         if mismatched:
-            return Commit(done=False, version=0, current=mismatched)
+            return Commit(False, 0, mismatched, self._time_ms())
         self.version += 1
         for key, value in writes:
             self.rows[key] = Row(key, self.version, value)
@@ -119,7 +119,10 @@
             self.lose_answers -= 1
             await trio.sleep(1.0)
             raise PlatformOutcomeUnknown("no answer")
-        return Commit(done=True, version=self.version)
+        return Commit(True, self.version, time_ms=self._time_ms())
+
+    def _time_ms(self) -> int:
+        return round(trio.current_time() * 1000)
 
 
 @dataclass
--- a/tests/test_gateway/test_gateway_coordinator.py
+++ b/tests/test_gateway/test_gateway_coordinator.py
@@ -4,6 +4,7 @@
 
 import json
 from contextlib import suppress
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import trio
@@ -21,6 +22,8 @@
 from tests.test_gateway.conftest import CONFIGURATION, apply_row, entry_value
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from radishshunt.gateway.settings import HostSettings
     from radishshunt.gateway.view import View
     from tests.test_gateway.conftest import FakeTargets, MemoryStore
@@ -312,3 +315,46 @@
         await trio.sleep(3.0)
         _assert_one_owner_per_key(store, fake_targets, 3)
         nursery.cancel_scope.cancel()
+
+
+async def _lead_until(coordinator: Coordinator, reached: Callable[[], bool]) -> None:
+    """Run a host that leads, and kill it once a condition holds."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(coordinator.run)
+        with trio.fail_after(10.0):
+            while not reached():
+                await trio.sleep(0.001)
+        nursery.cancel_scope.cancel()
+
+
+async def test_tokens_of_a_term_without_a_write_are_not_allocated_again(
+    autojump_clock: object,
+    view: View,
+    store: MemoryStore,
+    cfg: HostSettings,
+    fake_targets: FakeTargets,
+) -> None:
+    """Guards against a key that moves with a token that its former owner has had already.
+
+    The first leader raises the token of keys before it releases them, and ends before its write.
+    """
+    _register_targets(view, fake_targets, 2)
+    ranges = (KeyRange(0, LAST_KEY, "i-0", 1, 1, "127.0.0.1:9"),)
+    await store.commit({}, [(KEY_MAP_ROW, encode_key_map(KeyMap(ranges, 2)))])
+    apply_row(view, Topic.TARGETS, "i-0", entry_value("127.0.0.1:9", State="draining"), 50)
+    fake_targets.delays["/radishshunt/release"] = 1.0
+    first = _coordinator(view, store, cfg, ReportedLoadStatistics(view.clock))
+    other_cfg = replace(cfg, name="edge-2", peer_port=9)
+    second = _coordinator(view, store, other_cfg, ReportedLoadStatistics(view.clock))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow_store, view, store)
+        await _lead_until(first, lambda: len(fake_targets.fences("grant")) == 4)
+        former_fences = fake_targets.fences("grant")
+        # The former owner has ended, so that the next leader releases nothing.
+        fake_targets.registrations["127.0.0.1:9"] = "i-9"
+        apply_row(view, Topic.TARGETS, "i-9", entry_value("127.0.0.1:9", born=2), 51)
+        fake_targets.commands.clear()
+        await _lead_until(second, lambda: len(fake_targets.fences("grant")) == 4)
+        nursery.cancel_scope.cancel()
+    assert KEY_MAP_ROW in store.rows
+    assert min(fake_targets.fences("grant")) > max(former_fences)
