Raise the fencing token before each release

Until now the token was raised only while an unanswered grant might take effect. It is now raised before each release, so that the former owner refuses renewals with the earlier token (409). This takes one more command for each move. The grant that raises the token ends when the earlier grants do: a longer one would leave the keys of an unreachable target without an owner for longer, a shorter one would end running work. A target that refuses the grant for another reason is sent the release as before.

--- a/radishshunt/gateway/target_grants.py
+++ b/radishshunt/gateway/target_grants.py
@@ -28,6 +28,7 @@
 # Duration of a grant while the store does not answer; no other host can become the leader soon
 # then. A new leader has to wait this long for owners that it cannot reach, which limits the value.
 OUTAGE_GRANT_SECONDS = 7.5
+MIN_GRANT_SECONDS = 0.1
 RENEW_INTERVAL_SECONDS = 1.0
 # Allowance for a slow clock of a target.
 CLOCK_DRIFT_FACTOR = 1.02
@@ -179,7 +180,7 @@
         granted = GrantedRange(keys, GrantExpiry(held_until))
         async with self._lock:
             self.renewed_ranges[keys.first, keys.last] = granted
-            return await self._grant(granted, seconds, handover)
+            return await self._grant(granted, seconds, handover) == STATUS_OK
 
     def stop_renewing(self, first: int, last: int) -> GrantedRange | None:
         """Stop renewing a part of a range; the rest of the range is still renewed.
@@ -200,7 +201,10 @@
     async def release(
         self, granted_range: GrantedRange, allocate_fence: Callable[[], int]
     ) -> ReleaseResult:
-        """Release a range that is no longer renewed.
+        """Release a range that is no longer renewed, after raising its fencing token.
+
+        The target then refuses grants with earlier tokens, whether they are still on their way or
+        come from a host with an outdated key map.
 
         :param allocate_fence: Returns a fencing token that has never been used.
         """
@@ -208,17 +212,14 @@
         # it would grant the keys again.
         async with self._lock:
             expiry = replace(granted_range.expiry)
-        keys = granted_range.keys
+        keys = replace(granted_range.keys, fence=allocate_fence())
+        regranted = GrantedRange(keys, GrantExpiry())
+        may_be_pending = self._clock.now() < expiry.unanswered_until
         try:
-            if self._clock.now() < expiry.unanswered_until:
-                # An unanswered grant may take effect after the release; a higher token makes the
-                # target refuse it.
-                keys = replace(keys, fence=allocate_fence())
-                regranted = GrantedRange(keys, GrantExpiry())
-                done = await self._grant(regranted, GRANT_SECONDS, "")
-                expiry.until = max(expiry.until, regranted.expiry.until)
-                if not done:
-                    return ReleaseResult(False, expiry.until)
+            status = await self._grant(regranted, self._remaining_seconds(expiry), "")
+            expiry.until = max(expiry.until, regranted.expiry.until)
+            if not status or (may_be_pending and status != STATUS_OK):
+                return ReleaseResult(False, expiry.until)
             command = self._protocol.release(self.entry.address, keys)
             answer = await self._send(command, RELEASE_TIMEOUT_SECONDS)
         except FenceTooLow:
@@ -227,9 +228,19 @@
             return ReleaseResult(False, expiry.until)
         return ReleaseResult(True, expiry.until, self._protocol.handover(answer))
 
-    async def _grant(self, granted: GrantedRange, seconds: float, handover: str) -> bool:
+    def _remaining_seconds(self, expiry: GrantExpiry) -> float:
+        """Return the duration of a grant that ends when the grants of before do.
+
+        A longer one would delay a move whose release fails, a shorter one would end running work.
+        """
+        remaining = expiry.until - self._clock.now() - COMMAND_TIMEOUT_SECONDS
+        seconds = (remaining - NETWORK_DELAY_SECONDS) / CLOCK_DRIFT_FACTOR
+        return min(GRANT_SECONDS, max(MIN_GRANT_SECONDS, seconds))
+
+    async def _grant(self, granted: GrantedRange, seconds: float, handover: str) -> int:
+        """Send a grant, and return the status of its answer; 0 if there is none."""
         if self.process_ended or not self._is_leader():
-            return False
+            return 0
         expiry = granted.expiry
         command = self._protocol.grant(self.entry.address, granted.keys, seconds, handover)
         lifetime = seconds * CLOCK_DRIFT_FACTOR + NETWORK_DELAY_SECONDS
@@ -239,10 +250,10 @@
         if answer is None:
             # The command may have arrived as late as the end of its timeout.
             expiry.unanswered_until = max(expiry.unanswered_until, expiry.until)
-            return False
+            return 0
         if answer.status == STATUS_CONFLICT:
             raise FenceTooLow(granted.keys.fence)
-        return answer.status == STATUS_OK
+        return answer.status
 
     async def _verify(self, conn: Connection) -> None:
         """Check that the connected process is the one that was granted the keys.
--- a/tests/test_gateway/conftest.py
+++ b/tests/test_gateway/conftest.py
@@ -130,24 +130,46 @@
     """Fake targets by address: their behaviour and the commands that they received.
 
     :ivar commands: Address, path and fields of each command, in the order of taking effect.
+    :ivar refused: Grants that a target refused.
     :ivar delays: Seconds until a command takes effect and is answered, by path.
     :ivar jitter: Additional seconds for a command, multiplied by 0 to 6 in turn.
     :ivar sent_count: Number of commands sent so far.
     :ivar unanswered: Paths whose commands take effect but are not answered.
+    :ivar refuses_grants: Whether targets refuse grants, but not because of their tokens.
     :ivar registrations: Registration of the process at each address.
     """
 
     commands: list[tuple[str, str, dict]] = field(default_factory=list)
+    refused: list[tuple[str, str, dict]] = field(default_factory=list)
     delays: dict[str, float] = field(default_factory=dict)
     jitter: float = 0.0
     sent_count: int = 0
     unanswered: set[str] = field(default_factory=set)
+    refuses_grants: bool = False
     registrations: dict[str, str] = field(default_factory=dict)
 
     def fences(self, suffix: str) -> list[int]:
         """Return the fencing tokens of all commands whose path has this suffix."""
         return [doc["fence"] for _, path, doc in self.commands if path.endswith(suffix)]
 
+    def take(self, address: str, path: str, doc: dict) -> int:
+        """Let a command take effect at a target, and return the status of its answer."""
+        if path.endswith("grant") and any(
+            command_address == address
+            and command_path.endswith("grant")
+            and command["From"] <= doc["Target"]
+            and doc["From"] <= command["Target"]
+            and command["fence"] > doc["fence"]
+            for command_address, command_path, command in self.commands
+        ):
+            self.refused.append((address, path, doc))
+            return 409
+        if path.endswith("grant") and self.refuses_grants:
+            self.refused.append((address, path, doc))
+            return 400
+        self.commands.append((address, path, doc))
+        return 200
+
     def held_ranges(self, address: str) -> list[tuple[int, int]]:
         """Return the ranges that a target holds after all commands."""
         held = bytearray(KEY_COUNT)
@@ -183,11 +205,11 @@
             fake_targets.delays.get(path, 0.002)
             + fake_targets.jitter * (fake_targets.sent_count % 7)
         )
-        fake_targets.commands.append((self._address, path, json.loads(req.body)))
+        status = fake_targets.take(self._address, path, json.loads(req.body))
         if path in fake_targets.unanswered:
             self._connected = False
             raise ExchangeError("no answer", sent=True)
-        return HttpResponse(200, [(b"x-radishshunt-handover", b"h")], b"")
+        return HttpResponse(status, [(b"x-radishshunt-handover", b"h")], b"")
 
     def close(self) -> None:
         pass
--- a/tests/test_gateway/test_gateway_target_grants.py
+++ b/tests/test_gateway/test_gateway_target_grants.py
@@ -5,11 +5,12 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+import pytest
 import trio
 
 from radishshunt.clock import TrioClock
 from radishshunt.gateway.model import KeyRange, TargetEntry
-from radishshunt.gateway.target_grants import CLOCK_DRIFT_FACTOR, TargetGrants
+from radishshunt.gateway.target_grants import CLOCK_DRIFT_FACTOR, FenceTooLow, TargetGrants
 from radishshunt.platform.target_protocol import HttpTargetProtocol
 
 if TYPE_CHECKING:
@@ -73,6 +74,51 @@
     assert fake_targets.fences("release") == [6]
 
 
+async def test_former_owner_refuses_renewals_by_a_leader_with_an_outdated_key_map(
+    autojump_clock: object, fake_targets: FakeTargets
+) -> None:
+    """Guards against two owners, if a leader takes an older key map for the newest one."""
+    grants = _target_grants(fake_targets)
+    await grants.grant(KEY_RANGE, 4.0, "")
+    granted_range = grants.stop_renewing(0, 99)
+    assert granted_range is not None
+    assert (await grants.release(granted_range, lambda: 6)).done
+    outdated = _target_grants(fake_targets)
+    outdated.record_earlier_grant(KEY_RANGE, 0.0)
+    with pytest.raises(FenceTooLow):
+        await outdated.renew(4.0)
+    assert fake_targets.held_ranges(ADDRESS) == []
+
+
+async def test_unreachable_target_does_not_hold_keys_for_longer_by_their_release(
+    autojump_clock: object, fake_targets: FakeTargets
+) -> None:
+    """Guards against keys that have no owner for longer, because their token was raised."""
+    grants = _target_grants(fake_targets)
+    await grants.grant(KEY_RANGE, 4.5, "")
+    await trio.sleep(1.0)
+    fake_targets.unanswered |= {GRANT, RELEASE}
+    granted_range = grants.stop_renewing(0, 99)
+    assert granted_range is not None
+    held_until = granted_range.expiry.until
+    release = await grants.release(granted_range, lambda: 6)
+    assert not release.done
+    assert release.until <= held_until + 0.001
+
+
+async def test_target_that_refuses_grants_releases_its_keys(
+    autojump_clock: object, fake_targets: FakeTargets
+) -> None:
+    """Guards against a move that waits for the end of a grant, though the target has answered."""
+    grants = _target_grants(fake_targets)
+    await grants.grant(KEY_RANGE, 4.0, "")
+    fake_targets.refuses_grants = True
+    granted_range = grants.stop_renewing(0, 99)
+    assert granted_range is not None
+    assert (await grants.release(granted_range, lambda: 6)).done
+    assert fake_targets.held_ranges(ADDRESS) == []
+
+
 async def test_failed_release_returns_the_expiry_of_the_last_grant(
     autojump_clock: object, fake_targets: FakeTargets
 ) -> None:
