Let the fake store come back from a copy

Store-Era is in all answers, TimeMs in those about rows. A call for changes from a version above the newest gets 410, and one that waits during the restore gets 503. Fake targets keep their start time and record when commands arrived. The fixture for loopback addresses is for whole sessions, so that fixtures of modules can use it.

--- a/radishshunt/platform/fakes.py
+++ b/radishshunt/platform/fakes.py
@@ -30,19 +30,25 @@
 # Interval at which a call that waits for changes checks for them.
 POLL_INTERVAL_SECONDS = 0.01
 SERVICE_SECONDS = 0.02
+ERA_HEADER = "store-era"
 
 
 class FakeStore:
     """Store with rows, changes and conditional writes; all rows have an empty ``part``.
 
     :ivar down: Whether all calls are answered with status 503.
+    :ivar era: Number of restores so far, plus one.
+    :ivar calls: Number of calls, including refused ones.
     """
 
     def __init__(self, address: str) -> None:
         self.down = False
+        self.era = 1
+        self.calls = 0
         self.server = HttpServer(self._app, address, name="store")
         self._rows: dict[tuple[str, str], tuple[int, str | None]] = {}
         self._version = 1
+        self._copy = (dict(self._rows), self._version)
 
     def put(self, table: str, key: str, doc: Any) -> None:
         """Write a row, as operators and targets do."""
@@ -60,19 +66,36 @@
         value = self._rows.get((table, key), (0, None))[1]
         return None if value is None else json.loads(base64.b64decode(value))
 
+    def copy(self) -> None:
+        """Remember the rows and the version for :meth:`restore`."""
+        self._copy = (dict(self._rows), self._version)
+
+    def restore(self) -> None:
+        """Go back to the remembered rows and version, in a new era."""
+        rows, self._version = self._copy
+        self._rows = dict(rows)
+        self.era += 1
+
+    @property
+    def _stamp(self) -> dict[str, int]:
+        """Newest version and steady time, for answers about rows."""
+        return {"RowVersion": self._version, "TimeMs": int(time.monotonic() * 1000)}
+
     async def _app(self, scope: Any, receive: Any, send: Any) -> None:
+        self.calls += 1
         query = {k: v[0] for k, v in parse_qs(scope["query_string"].decode()).items()}
         body = await _read_body(receive)
         if self.down:
-            await _send_response(send, 503, {})
+            status, doc = 503, {}
         elif scope["path"] == ROWS_PATH:
-            await _send_response(send, 200, self._read(query["Table"]))
+            status, doc = 200, self._read(query["Table"])
         elif scope["path"] == CHANGES_PATH:
-            await _send_response(send, 200, await self._changes(query))
+            status, doc = await self._changes(query)
         elif scope["path"] == TRANSACTION_PATH:
-            await _send_response(send, *self._transact(json.loads(body)))
+            status, doc = self._transact(json.loads(body))
         else:
-            await _send_response(send, 404, {})
+            status, doc = 404, {}
+        await _send_response(send, status, doc, {ERA_HEADER: str(self.era)})
 
     def _read(self, table: str) -> dict[str, Any]:
         rows = [
@@ -80,11 +103,16 @@
             for key in sorted(self._rows)
             if key[0] == table and self._rows[key][1] is not None
         ]
-        return {"Rows": rows, "HasMore": False, "RowVersion": self._version}
+        return {"Rows": rows, "HasMore": False, **self._stamp}
 
-    async def _changes(self, query: dict[str, str]) -> dict[str, Any]:
+    async def _changes(self, query: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after, ends_at = int(query["after"]), trio.current_time() + int(query["WaitMs"]) / 1000
+        era = self.era
+        if after > self._version:
+            return 410, {}
         while True:
+            if self.era != era:
+                return 503, {}
             changed = [
                 key
                 for key, (version, _) in self._rows.items()
@@ -92,21 +120,18 @@
             ]
             if changed or trio.current_time() >= ends_at:
                 rows = [self._row(key) for key in sorted(changed, key=lambda k: self._rows[k][0])]
-                return {"Rows": rows, "RowVersion": self._version}
+                return 200, {"Rows": rows, **self._stamp}
             await trio.sleep(POLL_INTERVAL_SECONDS)
 
     def _transact(self, doc: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         checks = [((c["Table"], c["Key"]), c["RowVersion"]) for c in doc["ExpectRev"]]
         mismatched = [key for key, version in checks if self._current_version(key) != version]
         if mismatched:
-            return 412, {
-                "Rows": [self._row(key) for key in mismatched],
-                "RowVersion": self._version,
-            }
+            return 412, {"Rows": [self._row(key) for key in mismatched], **self._stamp}
         self._version += 1
         for row in doc["Puts"]:
             self._rows[row["Table"], row["Key"]] = (self._version, row["Value"])
-        return 200, {"RowVersion": self._version}
+        return 200, self._stamp
 
     def _current_version(self, key: tuple[str, str]) -> int:
         version, value = self._rows.get(key, (0, None))
@@ -123,22 +148,26 @@
 class FakeTarget:
     """Target that serves the keys that were granted to it.
 
+    :ivar born: Time of its start, in milliseconds since the Unix epoch.
     :ivar ran: Attempt ids of the requests that it ran.
     :ivar commands: Paths and documents of the commands that it accepted.
+    :ivar command_times: Time of each accepted command on the monotonic clock.
     """
 
     def __init__(self, target_id: str, address: str, service: str, domain: str) -> None:
         self.id = target_id
         self.address = address
+        self.born = int(time.time() * 1000)
         self.ran: list[str] = []
         self.commands: list[tuple[str, dict[str, Any]]] = []
+        self.command_times: list[float] = []
         self.server = HttpServer(self._app, address, name=target_id)
         self._service = service
         self._domain = domain
         self._grants: dict[int, tuple[int, float]] = {}
         self._running = 0
 
-    def entry(self, state: str = "ready") -> dict[str, Any]:
+    def entry(self, state: str = "ready", sequence: int = 1) -> dict[str, Any]:
         """Return the entry by which the target registers itself."""
         return {
             "Addr": self.address,
@@ -148,8 +177,8 @@
                 "Zone": self._domain,
                 "Capacity": 3,
             },
-            "Status": {"State": state, "Sequence": 1, "WarmupLeftMs": 0},
-            "born": int(time.time() * 1000),
+            "Status": {"State": state, "Sequence": sequence, "WarmupLeftMs": 0},
+            "born": self.born,
         }
 
     async def _app(self, scope: Any, receive: Any, send: Any) -> None:
@@ -190,6 +219,7 @@
             ends_at = time.monotonic() + doc["HoldMs"] / 1000
             self._grants.update(dict.fromkeys(keys, (doc["fence"], ends_at)))
         self.commands.append((path, doc))
+        self.command_times.append(time.monotonic())
         return 200
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -24,7 +24,7 @@
     return Layout(hosts=3, target_counts={"painter-reg": 6, "event-archive": 3}, net=TEST_NET + 1)
 
 
-@pytest.fixture
+@pytest.fixture(scope="session")
 def loopback() -> Callable[[], str]:
     """Return a function that returns another unused address, ``ip:port``, at each call."""
 
