Write no owner without an address into key maps

Callers would get no answer for any key: each term failed at its start.

Cause: a target that had been forgotten when its keys were written became their owner with an empty address. A later term that does not find its entry opens a pool of connections to that address, which raises ValueError and ends the host's coordinator.

The pool of the tests now refuses such an address like the real one.

Such keys are now written without an owner, and another target gets them in the next planning round, without a wait, as their former owner has released them already. An owner without an address that an earlier build wrote is not renewed; its keys move when the grants of earlier terms have expired.

--- a/radishshunt/gateway/key_mover.py
+++ b/radishshunt/gateway/key_mover.py
@@ -221,6 +221,9 @@
         target = self._view.targets.get(key_range.target)
         if target is not None and target.entry.incarnation == key_range.incarnation:
             entry = target.entry
+        elif not key_range.address:
+            # Nothing can be sent to it; its keys move when grants of earlier terms have expired.
+            return
         else:
             entry = TargetEntry(
                 key_range.target,
@@ -334,6 +337,8 @@
             if move.first <= key_range.first and key_range.last <= move.last
         ]
         for owner in owners:
+            if not owner.target:
+                continue
             if owner.target == move.to and self._stop_renewing_for_regrant(owner, move):
                 continue
             handover = await self._release_range(keys, owner)
@@ -475,12 +480,16 @@
         """Return the ranges of the new owners with newly allocated fencing tokens."""
         granted = []
         for move in ready:
+            fence = keys.allocate_fence()
             target = self._view.targets.get(move.to)
-            incarnation = target.entry.incarnation if target else 0
-            address = target.entry.address if target else ""
-            key_range = KeyRange(
-                move.first, move.last, move.to, incarnation, keys.allocate_fence(), address
-            )
+            if target is None:
+                # The target has been forgotten meanwhile; another one gets the keys.
+                key_range = KeyRange(move.first, move.last, "", 0, fence)
+            else:
+                entry = target.entry
+                key_range = KeyRange(
+                    move.first, move.last, entry.id, entry.incarnation, fence, entry.address
+                )
             granted.append((key_range, move))
         return granted
 
--- a/tests/test_gateway/conftest.py
+++ b/tests/test_gateway/conftest.py
@@ -185,6 +185,8 @@
     fake_targets: FakeTargets
 
     def __init__(self, address: str, verify: object = None) -> None:
+        # Like the real one, it accepts no address without a port.
+        int(address.rpartition(":")[2])
         self._address = address
         self._verify = verify
         self._connected = False
--- a/tests/test_gateway/test_gateway_coordinator.py
+++ b/tests/test_gateway/test_gateway_coordinator.py
@@ -18,6 +18,7 @@
 from radishshunt.gateway.model import LAST_KEY, KeyMap, KeyRange
 from radishshunt.gateway.rows import Topic
 from radishshunt.gateway.target_grants import OUTAGE_GRANT_SECONDS
+from radishshunt.placement.key_ranges import KeyRangeMove
 from radishshunt.platform.target_protocol import HttpTargetProtocol
 from tests.test_gateway.conftest import CONFIGURATION, apply_row, entry_value
 
@@ -358,3 +359,48 @@
         nursery.cancel_scope.cancel()
     assert KEY_MAP_ROW in store.rows
     assert min(fake_targets.fences("grant")) > max(former_fences)
+
+
+async def test_keys_of_an_owner_without_an_address_get_another_owner(
+    autojump_clock: object,
+    view: View,
+    store: MemoryStore,
+    cfg: HostSettings,
+    fake_targets: FakeTargets,
+) -> None:
+    """Guards against terms that all fail at their start because of one owner in the key map."""
+    coordinator = _coordinator(view, store, cfg, ReportedLoadStatistics(view.clock))
+    _register_targets(view, fake_targets, 2)
+    ranges = (KeyRange(0, LAST_KEY, "i-9", 0, 1, ""),)
+    await store.commit({}, [(KEY_MAP_ROW, encode_key_map(KeyMap(ranges, 2)))])
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow_store, view, store)
+        nursery.start_soon(coordinator.run)
+        await trio.sleep(OUTAGE_GRANT_SECONDS + 3.0)
+        _assert_one_owner_per_key(store, fake_targets, 2)
+        nursery.cancel_scope.cancel()
+
+
+async def test_keys_that_were_to_move_to_a_forgotten_target_move_to_another_one(
+    autojump_clock: object,
+    view: View,
+    store: MemoryStore,
+    cfg: HostSettings,
+    fake_targets: FakeTargets,
+) -> None:
+    """Guards against a key map with an owner that has no address, and so cannot be renewed."""
+    coordinator = _coordinator(view, store, cfg, ReportedLoadStatistics(view.clock))
+    _register_targets(view, fake_targets, 2)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow_store, view, store)
+        nursery.start_soon(coordinator.run)
+        await trio.sleep(4.0)
+        keys = coordinator.mover.services["register"]
+        coordinator.mover.start_move("register", keys, KeyRangeMove(0, 999, "i-0", "i-9"))
+        while keys.moves:
+            await trio.sleep(0.001)
+        written = decode_key_map(store.rows[KEY_MAP_ROW].value).ranges
+        assert [item.target for item in written if not item.address] == [""]
+        await trio.sleep(1.0)
+        _assert_one_owner_per_key(store, fake_targets, 2)
+        nursery.cancel_scope.cancel()
