Do not acquire or renew the lease while a host stops

Callers saw keys that stayed with their targets for longer than needed: a leader that had been told to stop could acquire the lease again some tenths of a second after it had released it, and end with it. Other hosts then had to wait 2.5 s.

Cause: wait_for_term had no notion of stopping, and a host takes a row that names itself for that of its earlier process. Two more ways had the same effect: a lease acquired while the host was told to stop was not released, and a renewal that waited for the end of a write was sent after the release, with an empty term.

release_lease now ends the host's part in the election. The acquisition holds the lock of writes, so that a release waits for it, and keep_renewing checks the term under this lock.

--- a/radishshunt/gateway/leadership.py
+++ b/radishshunt/gateway/leadership.py
@@ -71,6 +71,7 @@
         self._rows_read = False
         self._address = f"{cfg.ip}:{cfg.peer_port}"
         self._commit_lock = trio.Lock()
+        self._stopping = False
 
     @property
     def valid(self) -> bool:
@@ -83,15 +84,16 @@
         return self.valid and self._view.clock.now() > self._valid_until - EXPIRY_WARNING_SECONDS
 
     async def wait_for_term(self) -> None:
-        """Return once this host is the leader."""
+        """Return once this host is the leader, never after its lease was released."""
         delay = self._rng.uniform(0, TAKEOVER_JITTER_SECONDS) + takeover_delay_seconds(self._cfg)
         earliest_at = self._view.clock.now() + takeover_delay_seconds(self._cfg)
         while True:
             ready = self._view.versions[Topic.OWN] and self._view.clock.now() >= earliest_at
             if ready and self._may_acquire(delay):
                 try:
-                    if await self._acquire():
-                        return
+                    async with self._commit_lock:
+                        if not self._stopping and await self._acquire():
+                            return
                 except (PlatformUnavailable, PlatformOutcomeUnknown, ProtocolError) as exc:
                     logger.info("acquiring the lease failed: %s", exc)
                     await trio.sleep(RETRY_DELAY_SECONDS)
@@ -103,6 +105,8 @@
             sent_at = self._view.clock.now()
             try:
                 async with self._commit_lock:
+                    if not self.term:
+                        break
                     await self._renew(sent_at)
                 await trio.sleep(RENEW_INTERVAL_SECONDS)
             except (PlatformUnavailable, PlatformOutcomeUnknown, ProtocolError) as exc:
@@ -152,10 +156,11 @@
         self._view.apply(Change(Topic.OWN, rows, version, whole=False))
 
     async def release_lease(self) -> None:
-        """Release the lease so that another host can acquire it at once."""
-        if not self.valid:
-            return
+        """Release the lease so that another host can acquire it at once, and acquire none again."""
+        self._stopping = True
         async with self._commit_lock:
+            if not self.valid:
+                return
             version, self.term = self._version, ""
             try:
                 with trio.move_on_after(0.5):
--- a/tests/test_gateway/conftest.py
+++ b/tests/test_gateway/conftest.py
@@ -80,6 +80,7 @@
     """Row store that keeps the router's own table in memory.
 
     :ivar down: Whether all calls fail without effect.
+    :ivar write_seconds: Time until a write takes effect.
     :ivar lose_answers: Number of further writes that take effect but are not answered.
     """
 
@@ -87,6 +88,7 @@
         self.down = False
         self.rows: dict[str, Row] = {}
         self.version = 0
+        self.write_seconds = 0.008
         self.lose_answers = 0
 
     async def read(self, topic: Topic) -> Change:
@@ -101,7 +103,7 @@
         return await self.read(topic)
 
     async def commit(self, checks: dict[str, int], writes: Sequence[tuple[str, bytes]]) -> Commit:
-        await trio.sleep(0.008)
+        await trio.sleep(self.write_seconds)
         if self.down:
             raise PlatformUnavailable("the store is down")
         absent = Row("", 0, None)
--- a/tests/test_gateway/test_gateway_leadership.py
+++ b/tests/test_gateway/test_gateway_leadership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from dataclasses import replace
 from random import Random
 from typing import TYPE_CHECKING
@@ -9,7 +10,12 @@
 import pytest
 import trio
 
-from radishshunt.gateway.leadership import LEASE_SECONDS, Leadership, LeaseLost
+from radishshunt.gateway.leadership import (
+    LEASE_SECONDS,
+    RENEW_INTERVAL_SECONDS,
+    Leadership,
+    LeaseLost,
+)
 from radishshunt.gateway.rows import Topic
 from radishshunt.gateway.view import LEADER_KEY, View
 from radishshunt.platform.catalog import CatalogReader
@@ -114,3 +120,69 @@
             while not slow.valid:
                 await trio.sleep(0.1)
         nursery.cancel_scope.cancel()
+
+
+async def _lead(leadership: Leadership) -> None:
+    while True:
+        await leadership.wait_for_term()
+        await leadership.keep_renewing()
+
+
+def _leader_host(store: MemoryStore) -> str:
+    return json.loads(store.rows[LEADER_KEY].value)["host"]
+
+
+async def test_stopping_host_does_not_acquire_the_lease_again(
+    autojump_clock: object, view: View, store: MemoryStore, cfg: HostSettings
+) -> None:
+    """Guards against a leader that ends with the lease, which no host can acquire for 2.5 s."""
+    leadership = Leadership(cfg, view, store)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow_store, view, store)
+        nursery.start_soon(_lead, leadership)
+        await trio.sleep(1.0)
+        assert leadership.valid
+        await leadership.release_lease()
+        await trio.sleep(3.0)
+        assert not leadership.valid
+        assert _leader_host(store) == ""
+        nursery.cancel_scope.cancel()
+
+
+async def test_lease_that_is_acquired_while_the_host_stops_is_released(
+    autojump_clock: object, view: View, store: MemoryStore, cfg: HostSettings
+) -> None:
+    """Guards against a host that becomes the leader right after it was told to stop."""
+    view.apply(await store.read(Topic.OWN))
+    leadership = Leadership(cfg, view, store)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_lead, leadership)
+        await trio.sleep(store.write_seconds / 2)
+        await leadership.release_lease()
+        await trio.sleep(1.0)
+        assert not leadership.valid
+        assert _leader_host(store) == ""
+        nursery.cancel_scope.cancel()
+
+
+async def test_stopping_host_does_not_renew_the_lease(
+    autojump_clock: object, view: View, store: MemoryStore, cfg: HostSettings
+) -> None:
+    """Guards against a lease that outlasts its leader, because its release was not answered."""
+    leadership = Leadership(cfg, view, store)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow_store, view, store)
+        nursery.start_soon(_lead, leadership)
+        while not leadership.valid:
+            await trio.sleep(0.1)
+        # A renewal is due while the host waits for the end of a write in order to stop.
+        await trio.sleep(RENEW_INTERVAL_SECONDS - 0.3)
+        version = store.rows[LEADER_KEY].version
+        store.write_seconds = 0.5
+        nursery.start_soon(leadership.commit, {}, [("x", b"{}")])
+        await trio.sleep(0.01)
+        store.write_seconds = 0.9
+        await leadership.release_lease()
+        await trio.sleep(2.0)
+        assert store.rows[LEADER_KEY].version == version
+        nursery.cancel_scope.cancel()
