Plan no moves while a leader knows no targets

Callers saw keys without renewals for longer than needed: a host that acquired the lease before it had read the targets failed in the first planning round.

Cause: _balance divides by the capacity of all targets, which is 0 then.

--- a/radishshunt/placement/key_ranges.py
+++ b/radishshunt/placement/key_ranges.py
@@ -264,6 +264,8 @@
     :param owned: First key, last key and load of each range by target; updated.
     """
     moves: list[KeyRangeMove] = []
+    if not targets:
+        return moves
     mean = sum(h.load for h in targets.values()) / sum(h.capacity for h in targets.values())
     move_limit = max(MIN_MOVE_LIMIT, int(MOVES_PER_TARGET * len(targets)))
     while len(moves) < move_limit:
--- a/tests/test_placement/test_placement_key_ranges.py
+++ b/tests/test_placement/test_placement_key_ranges.py
@@ -176,3 +176,8 @@
     moves = plan_moves(ranges, _range_targets(), rates)
     assert moves
     assert sum(move.last - move.first + 1 for move in moves) <= 30
+
+
+def test_leader_that_knows_no_targets_moves_nothing() -> None:
+    """Guards against a host that fails when it leads before it has read the targets."""
+    assert plan_moves(_even_ranges(), {}, KeyRates({})) == []
