Let a silent attempt of a read go on beside its second one

Callers got a 502 of the host for a read at which a target had been at work until the host itself gave it up.

Cause: the watch for silent targets ended the first attempt to make room for a second one. The second one then had to find a place at the same owner, and failed with "overload" when the time left was short; or it was refused or broke off. Nothing was left that could still be answered. SIGTERM only stopped further ends, not those that had just been made.

Now the first attempt goes on while a second one waits or runs, the first answer ends the other, and an error ends the request only when no attempt is left. So nothing is given up before the deadline in favour of something that may fail, with or without SIGTERM. A silent attempt does not count as load, so that the second one may be sent.

The four new cases of slow answers failed before (502, or the answer never arrived); the test of the answer at the deadline failed without its check.

--- a/radishshunt/gateway/attempts.py
+++ b/radishshunt/gateway/attempts.py
@@ -11,6 +11,7 @@
 from radishshunt.policy.direct.overload import OverloadGate
 
 if TYPE_CHECKING:
+    from radishshunt.gateway.repeats import Repeats
     from radishshunt.gateway.target_pool import TargetPool
     from radishshunt.policy.direct.target_load import TargetLoadEstimate
 
@@ -27,6 +28,7 @@
     """State of a target as observed through this host's own requests.
 
     :ivar queue: Requests of this host that wait for the target.
+    :ivar exchanges: Number of running exchanges with the target, silent ones included.
     :ivar failures: Consecutive failed requests.
     :ivar avoid_until: Time on trio's clock until which other targets are preferred.
     :ivar unreachable_until: Time on trio's clock until which connections are not expected to
@@ -38,6 +40,7 @@
     queue: Lane = field(default_factory=Lane)
     cold_rate_limiter: ColdRateLimiter = field(default_factory=ColdRateLimiter)
     overload_gate: OverloadGate = field(default_factory=OverloadGate)
+    exchanges: int = 0
     failures: int = 0
     avoid_until: float = float("-inf")
     unreachable_until: float = float("-inf")
@@ -70,9 +73,11 @@
     :ivar retry_reserved: Whether the budget has been charged for another attempt already.
     :ivar last_non_owner: Registration and incarnation of the last target that reported not to hold
         the key.
+    :ivar repeats: Starts a further attempt beside the current one.
     """
 
     fingerprint: int
+    repeats: Repeats = field(init=False)
     sends: int = 0
     may_have_run: bool = False
     possible_runners: set[str] = field(default_factory=set)
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -4,6 +4,7 @@
 
 import logging
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,7 @@
 from radishshunt.gateway.exchange import ExchangeError
 from radishshunt.gateway.messages import Report, TargetWorkTime
 from radishshunt.gateway.model import RequestKind
+from radishshunt.gateway.repeats import Repeats
 from radishshunt.gateway.target_choice import TargetChooser
 from radishshunt.hashing import fingerprint
 from radishshunt.logs import decision
@@ -55,10 +57,6 @@
 MAX_SENDS = 4
 
 
-class TargetSilent(ExchangeError):
-    """A target has not answered for much longer than its load explains."""
-
-
 @dataclass(frozen=True, slots=True)
 class _LostRequest:
     """A request that got no response, and the target that it was sent to."""
@@ -67,17 +65,52 @@
     fingerprint: int
 
 
-@dataclass(slots=True)
-class _WatchedExchange:
-    """An exchange that is given up if its target is silent.
+@dataclass(slots=True, eq=False)
+class _Attempt:
+    """One attempt to send a request.
 
-    :param silent_at: Time from which the target counts as silent.
+    :ivar number: Number of the attempt, from 1 on.
+    :ivar silent_at: Time from which the target counts as silent.
+    :ivar silent: Whether the target is silent, so that the request is sent once more.
     """
 
-    silent_at: float
-    scope: trio.CancelScope
+    req: CallerRequest
     route: Route
     service: Service
+    target: Target
+    state: TargetState
+    attempts: RequestAttempts
+    number: int
+    sent_at: float
+    silent_at: float = float("inf")
+    silent: bool = False
+
+    def begin(self) -> None:
+        """Count the attempt as load of its target."""
+        self.state.exchanges += 1
+        self.state.load.on_sent()
+
+    def mark_silent(self) -> None:
+        """Record that the target is silent; it may still be at work on the request.
+
+        The attempt no longer counts as load, since the target may have lost it.
+        """
+        self.silent = True
+        self.state.load.on_ended()
+        self.attempts.may_have_run = True
+        self.attempts.possible_runners.add(self.target.entry.id)
+
+    def mark_answered(self) -> None:
+        """Record that the target has been at work on the request after all."""
+        if self.silent:
+            self.silent = False
+            self.state.load.on_sent()
+
+    def end(self) -> None:
+        """Count the end of the attempt."""
+        self.state.exchanges -= 1
+        if not self.silent:
+            self.state.load.on_ended()
 
 
 class Sender:
@@ -110,7 +143,7 @@
         self._protocol = protocol
         self.chooser = TargetChooser(cfg, view, rng or Random())
         self._budgets: dict[str, TokenBudget] = {}
-        self._exchanges: dict[RequestAttempts, _WatchedExchange] = {}
+        self._watched: set[_Attempt] = set()
 
     def update_settings(self, cfg: HostSettings) -> None:
         """Apply changed bounds."""
@@ -138,20 +171,25 @@
             self.chooser.clean_up()
 
     async def watch_silence(self) -> None:
-        """Give up exchanges with silent targets that may be sent again; run until cancelled.
-
-        An exchange for which there is no retry left goes on, since its answer may still come.
-        """
+        """Send requests once more whose targets are silent; run until cancelled."""
         while True:
             await trio.sleep(SILENCE_CHECK_SECONDS)
             if self.stopping:
                 continue
             now = trio.current_time()
-            for attempts, exchange in self._exchanges.items():
-                if exchange.silent_at <= now and self._may_retry(exchange.route, exchange.service):
-                    attempts.retry_reserved = True
-                    exchange.silent_at = float("inf")
-                    exchange.scope.cancel()
+            for attempt in [watched for watched in self._watched if watched.silent_at <= now]:
+                if self._may_retry(attempt.route, attempt.service):
+                    self._watched.discard(attempt)
+                    self._repeat(attempt, now)
+
+    def _repeat(self, attempt: _Attempt, now: float) -> None:
+        """Send the request of an attempt once more, while the attempt goes on."""
+        self._record_failure(attempt, connected=True)
+        error = f"no answer within {now - attempt.sent_at:.2f} s"
+        self._log_attempt(attempt, 0, error)
+        attempt.mark_silent()
+        attempt.attempts.retry_reserved = True
+        attempt.attempts.repeats.start_another()
 
     async def confirm_crashes(self) -> None:
         """Detect targets that crashed while running a request; run until cancelled."""
@@ -193,11 +231,11 @@
             raise NotRun("quarantined", "targets crashed while running this request")
         deadline = min(req.deadline, req.received_at + route.timeout_seconds)
         deadline -= RESPONSE_MARGIN_SECONDS
+        attempts.repeats = Repeats(partial(self._attempt, req, route, service, attempts, deadline))
         with trio.move_on_at(deadline):
-            while True:
-                response = await self._attempt(req, route, service, attempts, deadline)
-                if response is not None:
-                    return response
+            return await attempts.repeats.run()
+        if attempts.repeats.response is not None:
+            return attempts.repeats.response
         if attempts.may_have_run:
             raise OutcomeOfRequestUnknown(
                 "timeout", "no response from a target before the deadline"
@@ -223,23 +261,26 @@
         elif attempts.sends and not self._may_retry(route, service):
             raise self.chooser.overload_error(attempts, "retry-budget", state)
         attempts.sends += 1
-        state.load.on_sent()
-        sent_at = trio.current_time()
+        attempt = _Attempt(
+            req, route, service, target, state, attempts, attempts.sends, trio.current_time()
+        )
+        attempt.begin()
         try:
-            response = await self._exchange(req, route, service, target, state, attempts, deadline)
-            self._record_load(response, service, state, sent_at)
+            response = await self._exchange(attempt, deadline)
+            attempt.mark_answered()
+            self._record_load(response, service, state, attempt.sent_at)
         except ExchangeError as exc:
-            self._record_failure(state, sent_at, connected=exc.sent)
-            self._record_failed_attempt(req, route, target, attempts, exc)
+            self._record_failure(attempt, connected=exc.sent)
+            self._record_failed_attempt(attempt, exc)
             return None
         except trio.Cancelled:
-            self._record_failure(state, sent_at, connected=True)
-            self._log_attempt(req, route, target, attempts, 0, "given up without an answer")
+            self._record_failure(attempt, connected=True)
+            self._log_attempt(attempt, 0, "given up without an answer")
             raise
         finally:
-            state.load.on_ended()
+            attempt.end()
         state.on_response()
-        self._log_attempt(req, route, target, attempts, response.status)
+        self._log_attempt(attempt, response.status)
         if self._protocol.is_not_run(response):
             attempts.may_have_run = bool(attempts.possible_runners)
             self._record_refusal(response, target, state, attempts)
@@ -247,45 +288,35 @@
         self._quarantine.record_answer(attempts.fingerprint, "")
         return response
 
-    async def _exchange(
-        self,
-        req: CallerRequest,
-        route: Route,
-        service: Service,
-        target: Target,
-        state: TargetState,
-        attempts: RequestAttempts,
-        deadline: float,
-    ) -> HttpResponse:
+    async def _exchange(self, attempt: _Attempt, deadline: float) -> HttpResponse:
         """Send a request to a target and return the response.
 
-        :raises TargetSilent: If the request may be sent once more, as the target is silent.
         :raises ExchangeError: If there is no complete response.
         """
-        now, load = trio.current_time(), state.load
+        now, load, route = attempt.sent_at, attempt.state.load, attempt.route
         repeatable = route.kind is RequestKind.IDEMPOTENT
-        silent_at = deadline
-        if repeatable and attempts.sends < route.max_attempts:
-            silent_at = silence_deadline(
+        if repeatable and attempt.number < route.max_attempts:
+            attempt.silent_at = silence_deadline(
                 now, deadline, route.objective_seconds, load.expected_wait(now), load.work_seconds
             )
-        target_request = self._protocol.build_request(req, target.entry.id, deadline - now)
-        with trio.CancelScope() as scope:
-            if silent_at < deadline:
-                self._exchanges[attempts] = _WatchedExchange(silent_at, scope, route, service)
-            try:
-                return await state.pool.exchange(
-                    target_request, repeatable=repeatable, on_send=attempts.mark_sent
-                )
-            finally:
-                self._exchanges.pop(attempts, None)
-        elapsed = trio.current_time() - now
-        raise TargetSilent(f"no answer within {elapsed:.2f} s", sent=True)
-
-    def _record_failure(self, state: TargetState, sent_at: float, *, connected: bool) -> None:
-        """Record an attempt without a complete response."""
-        now = trio.current_time()
-        elapsed = now - sent_at
+            if attempt.silent_at < deadline:
+                self._watched.add(attempt)
+        target_request = self._protocol.build_request(
+            attempt.req, attempt.target.entry.id, deadline - now
+        )
+        try:
+            return await attempt.state.pool.exchange(
+                target_request, repeatable=repeatable, on_send=attempt.attempts.mark_sent
+            )
+        finally:
+            self._watched.discard(attempt)
+
+    def _record_failure(self, attempt: _Attempt, *, connected: bool) -> None:
+        """Record an attempt without a complete response, unless that was done before."""
+        if attempt.silent:
+            return
+        state, now = attempt.state, trio.current_time()
+        elapsed = now - attempt.sent_at
         if connected:
             state.load.on_no_answer(elapsed)
         # A caller that leaves early says nothing about the target.
@@ -305,30 +336,20 @@
             work_seconds = state.load.on_answer(now - sent_at, running, waiting)
             self.chooser.work_times.on_work(service.name, work_seconds)
 
-    def _record_failed_attempt(
-        self,
-        req: CallerRequest,
-        route: Route,
-        target: Target,
-        attempts: RequestAttempts,
-        exc: ExchangeError,
-    ) -> None:
+    def _record_failed_attempt(self, attempt: _Attempt, exc: ExchangeError) -> None:
         """Record that a target returned no complete response.
 
         :raises OutcomeOfRequestUnknown: If the request may have run and is not sent again.
         :raises NotRun: If the request was never sent and no other attempt follows.
         """
-        self._log_attempt(req, route, target, attempts, 0, str(exc))
+        route, target, attempts = attempt.route, attempt.target, attempt.attempts
+        self._log_attempt(attempt, 0, str(exc))
         if not exc.sent:
             attempts.refused_by.add(target.entry.id)
             if len(attempts.refused_by) >= route.max_attempts + 1:
-                raise self.chooser.overload_error(
-                    attempts, "no-connection", self.chooser.state(target)
-                )
+                raise self.chooser.overload_error(attempts, "no-connection", attempt.state)
             return
         attempts.possible_runners.add(target.entry.id)
-        if isinstance(exc, TargetSilent):
-            return
         try:
             self._crash_check_queue.send_nowait(_LostRequest(target.entry, attempts.fingerprint))
         except trio.WouldBlock:
@@ -392,22 +413,14 @@
             counts = self.request_counts.setdefault(service.name, {})
             counts[req.key] = counts.get(req.key, 0) + 1
 
-    def _log_attempt(
-        self,
-        req: CallerRequest,
-        route: Route,
-        target: Target,
-        attempts: RequestAttempts,
-        status: int,
-        error: str = "",
-    ) -> None:
+    def _log_attempt(self, attempt: _Attempt, status: int, error: str = "") -> None:
         decision(
             "attempt",
-            request_id=req.attempt_id,
-            route=route.name,
-            key=req.key,
-            target=target.entry.id,
-            arrival=attempts.sends,
+            request_id=attempt.req.attempt_id,
+            route=attempt.route.name,
+            key=attempt.req.key,
+            target=attempt.target.entry.id,
+            arrival=attempt.number,
             status=status,
             error=error,
         )
--- a/radishshunt/gateway/target_choice.py
+++ b/radishshunt/gateway/target_choice.py
@@ -93,7 +93,7 @@
         current = {state_key(target.entry) for target in self._view.targets.values()}
         for key, state in list(self.states.items()):
             state.pool.prune()
-            if key not in current and not state.load.own_requests:
+            if key not in current and not state.exchanges:
                 state.pool.close()
                 del self.states[key]
         self._outages.forget_old(trio.current_time())
--- a/tests/test_gateway/test_gateway_sender.py
+++ b/tests/test_gateway/test_gateway_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import h11
@@ -11,11 +12,12 @@
 
 from radishshunt.clock import SystemClock, TrioClock
 from radishshunt.errors import NotRun, OutcomeOfRequestUnknown
+from radishshunt.gateway.exchange import HttpResponse
 from radishshunt.gateway.key_maps import KEY_MAP_PREFIX, encode_key_map
 from radishshunt.gateway.model import LAST_KEY, KeyMap, KeyRange
 from radishshunt.gateway.protocol import CallerRequest
 from radishshunt.gateway.rows import Topic
-from radishshunt.gateway.sender import Sender
+from radishshunt.gateway.sender import Sender, _Attempt
 from radishshunt.gateway.view import View
 from radishshunt.platform.catalog import CatalogReader
 from radishshunt.platform.target_protocol import HttpTargetProtocol
@@ -81,8 +83,10 @@
     *,
     retries: bool = True,
     stopping: bool = False,
+    view: View | None = None,
+    linger: float = 0.0,
 ):
-    view = View(CatalogReader(), TrioClock())
+    view = view or View(CatalogReader(), TrioClock())
     sender = Sender(cfg, view, HttpTargetProtocol(), Quarantine(), SystemClock())
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     port = listeners[0].socket.getsockname()[1]
@@ -106,6 +110,7 @@
         except (NotRun, OutcomeOfRequestUnknown) as exc:
             return exc
         finally:
+            await trio.sleep(linger)
             nursery.cancel_scope.cancel()
 
 
@@ -264,3 +269,107 @@
     result = await _send(cfg, target, "/reads/1", 3.0, b"", stopping=True)
     assert result.status == 200
     assert target.requests == 1
+
+
+@pytest.mark.parametrize(
+    "second_answer", [REFUSAL, b"", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\no"]
+)
+async def test_read_gets_its_slow_answer_when_the_second_attempt_fails(
+    cfg: HostSettings, second_answer: bytes
+) -> None:
+    """Guards against a host that gives up the attempt at which a target is at work for another one.
+
+    Seen in a hunted day of totara-permits, where a stopping host answered 502 in its place.
+    """
+
+    async def respond(stream: trio.SocketStream, number: int) -> bool:
+        if number == 1:
+            await trio.sleep(0.8)
+            await stream.send_all(OK)
+        elif second_answer:
+            await stream.send_all(second_answer)
+        return number == 1
+
+    target = _Target(respond)
+    result = await _send(cfg, target, "/reads/1", 3.0, b"")
+    assert result.status == 200
+    assert target.requests >= 2
+
+
+async def test_read_gets_its_slow_answer_when_its_key_loses_its_owner(cfg: HostSettings) -> None:
+    """Guards against giving up a read at work when no target can take its second attempt."""
+    view, answered = View(CatalogReader(), TrioClock()), trio.Event()
+
+    async def respond(stream: trio.SocketStream, number: int) -> bool:
+        apply_row(view, Topic.OWN, KEY_MAP_PREFIX + "register", encode_key_map(KeyMap((), 3)), 4)
+        await trio.sleep(0.8)
+        with suppress(trio.BrokenResourceError):
+            await stream.send_all(OK)
+            answered.set()
+        return False
+
+    result = await _send(cfg, _Target(respond), "/reads/1", 3.0, b"", view=view)
+    assert answered.is_set()
+    assert result.status == 200
+
+
+async def test_silent_attempt_ends_once_the_second_one_is_answered(cfg: HostSettings) -> None:
+    """Guards against a target that works on for an attempt whose request has been answered."""
+    ended = trio.Event()
+
+    async def respond(stream: trio.SocketStream, number: int) -> bool:
+        if number == 1:
+            with suppress(trio.BrokenResourceError):
+                await stream.receive_some(1)
+            ended.set()
+            return False
+        await stream.send_all(OK)
+        with trio.fail_after(0.5):
+            await ended.wait()
+        return True
+
+    result = await _send(cfg, _Target(respond), "/reads/1", 3.0, b"")
+    assert result.status == 200
+    assert ended.is_set()
+
+
+async def test_both_attempts_end_at_the_deadline(cfg: HostSettings) -> None:
+    """Guards against targets that work on for two attempts of a read that has been given up."""
+    ended = 0
+
+    async def respond(stream: trio.SocketStream, number: int) -> bool:
+        nonlocal ended
+        with suppress(trio.BrokenResourceError):
+            await stream.receive_some(1)
+        ended += 1
+        return False
+
+    target = _Target(respond)
+    result = await _send(cfg, target, "/reads/1", 3.0, b"", linger=0.1)
+    assert isinstance(result, OutcomeOfRequestUnknown)
+    assert result.status == 504
+    assert target.requests == ended == 2
+
+
+async def test_answer_at_the_deadline_is_returned_though_another_attempt_still_runs(
+    cfg: HostSettings, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against answering 504 in place of a response that has arrived.
+
+    Seen in trouble-2 of totara-permits, seed 11, on the first trial of concurrent attempts.
+    """
+
+    async def exchange(sender: Sender, attempt: _Attempt, deadline: float) -> HttpResponse:
+        if attempt.number == 1:
+            sender._repeat(attempt, trio.current_time())
+            await trio.sleep_forever()
+        with trio.CancelScope(shield=True):
+            await trio.sleep_until(deadline + 0.01)
+        return HttpResponse(200, [], b"ok")
+
+    async def respond(stream: trio.SocketStream, number: int) -> bool:
+        return False
+
+    monkeypatch.setattr(Sender, "_exchange", exchange)
+    result = await _send(cfg, _Target(respond), "/reads/1", 0.3, b"")
+    assert result.status == 200
