Serve a request that arrives as its idle connection is closed

Callers of a host that was stopping lost a request on a kept connection: the host read it, dropped it and closed the connection. A write is not sent again by its caller after that.

Cause: closing an idle connection marked it as draining, and whatever a draining connection reads is discarded. If the request arrived after the check for input and before the event loop polled its sockets, the bytes came with the expiry of the wait, and were read and discarded. The busier the host, the longer that gap.

Evidence: the test sends the request in that gap, whole and in two parts.

An idle connection now only gets a deadline for its wait, so bytes that arrive before it takes effect are served. A head that has begun has its own time limit instead of that of an idle connection; otherwise its second part would have been refused at once with 408.

--- a/radishshunt/http_server.py
+++ b/radishshunt/http_server.py
@@ -310,6 +310,7 @@
         """Close the connection if no request is in progress on it.
 
         A new connection stays open for a moment, since its first request is probably on its way.
+        Bytes that arrive before the close takes effect are served.
         """
         if (
             not self._protocol_started
@@ -318,11 +319,11 @@
             or self._has_input()
         ):
             return
-        if self.served_request:
-            self._drain_until(trio.current_time())
-        else:
-            self._idle_deadline = min(self._idle_deadline, self._first_request_expected_until)
-            self._update_receive_deadline()
+        close_at = (
+            trio.current_time() if self.served_request else self._first_request_expected_until
+        )
+        self._idle_deadline = min(self._idle_deadline, close_at)
+        self._update_receive_deadline()
 
     def _has_input(self) -> bool:
         sock = self._transport.socket
@@ -418,9 +419,10 @@
 
     def _update_receive_deadline(self) -> None:
         """Set the time limit of the current or next wait for bytes."""
-        self._receive_scope.deadline = min(
-            self.protocol.head_deadline, self._drain_deadline, self._idle_deadline
-        )
+        # A connection on which a head has begun is not idle.
+        head_deadline = self.protocol.head_deadline
+        idle_until = self._idle_deadline if head_deadline == float("inf") else head_deadline
+        self._receive_scope.deadline = min(idle_until, self._drain_deadline)
 
     async def _read_data(self) -> None:
         while True:
--- a/tests/test_gateway/test_gateway_stop.py
+++ b/tests/test_gateway/test_gateway_stop.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import socket
+from contextlib import suppress
 from random import Random
 from typing import TYPE_CHECKING, Any
 
+import pytest
 import trio
 
 from radishshunt.http_server import HttpServer
@@ -98,3 +101,42 @@
             nursery.cancel_scope.cancel()
     assert len(results) > CALLERS
     assert [result for result in results if not result.startswith(b"HTTP/1.1 200")] == []
+
+
+async def _read_response(stream: trio.SocketStream) -> bytes:
+    """Return the response on a connection, as far as it gets, without the caller's own errors."""
+    response = b""
+    with trio.move_on_after(2), suppress(trio.BrokenResourceError):
+        while not response.endswith(b"ok") and (data := await stream.receive_some()):
+            response += data
+    return response
+
+
+@pytest.mark.parametrize("parts", [(GET,), (GET[:20], GET[20:])])
+async def test_request_that_arrives_as_its_idle_connection_is_closed_is_answered(
+    loopback: Callable[[], str], parts: tuple[bytes, ...]
+) -> None:
+    """Guards against reading a request on a kept connection and closing it without an answer.
+
+    The request arrives after the check for input and before the event loop polls its sockets.
+    """
+    address = loopback()
+    ip, _, port = address.rpartition(":")
+    server = HttpServer(_slow_app, address, name="callers")
+    async with trio.open_nursery() as nursery:
+        await nursery.start(server.run)
+        caller = await trio.open_tcp_stream(ip, int(port))
+        await caller.send_all(GET)
+        assert (await _read_response(caller)).startswith(b"HTTP/1.1 200")
+        server.close_after_response = True
+        await server.stop_accepting()
+        raw = socket.socket(fileno=caller.socket.fileno())
+        server.close_idle()
+        for part in parts:
+            raw.send(part)
+            await trio.sleep(0.01)
+        raw.detach()
+        response = await _read_response(caller)
+        nursery.cancel_scope.cancel()
+    assert response.startswith(b"HTTP/1.1 200")
+    assert b"connection: close" in response
