Cut off responses that are framing without a body

A target could send chunks with long extensions and hardly any body for as long as its request had time. The host read them at the speed of the connection, and its other callers waited.

Cause: heads, interim responses and bodies were bounded, but of chunks only the content counted. A chunk extension and a trailer without an end were refused before already (by h11's bound of an incomplete event); both have a test now.

Evidence: the test sends extensions of 5 kB with one byte of content each; the exchange was still reading after 5 s, and now ends as a request that may have run.

All bytes of a response are counted against its body: chunks of one byte still fit, as a test of 100 kB in such chunks shows.

--- a/radishshunt/gateway/exchange.py
+++ b/radishshunt/gateway/exchange.py
@@ -24,6 +24,9 @@
 # Responses are buffered completely, so that a request with a truncated response can be retried.
 # Larger responses are rejected.
 MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+# Bytes of a response besides its body: heads, and the framing of chunks, which may be of one byte.
+MAX_FRAMING_BYTES = 256 * 1024
+MAX_FRAMING_BYTES_PER_BODY_BYTE = 8
 # SO_LINGER enabled with a timeout of zero: closing the socket resets the connection.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Number of interim responses (status 1xx) after which an exchange fails.
@@ -195,10 +198,15 @@
         head: h11.Response | None = None
         body = bytearray()
         interim_responses = 0
+        received = 0
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                self._http.receive_data(await self._stream.receive_some(READ_BYTES))
+                data = await self._stream.receive_some(READ_BYTES)
+                received += len(data)
+                if received > MAX_FRAMING_BYTES + MAX_FRAMING_BYTES_PER_BODY_BYTE * len(body):
+                    raise ExchangeError("response has too little body for its size", sent=True)
+                self._http.receive_data(data)
             elif isinstance(event, h11.Response):
                 head = event
             elif isinstance(event, h11.Data):
--- a/tests/test_gateway/test_gateway_exchange.py
+++ b/tests/test_gateway/test_gateway_exchange.py
@@ -212,3 +212,43 @@
     assert len(results) == 6
     assert largest <= memory.limit_bytes
     assert memory.used_bytes == 0
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nX-Attempt: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "filler"),
+    [
+        (CHUNKED + b"1;ext=", b"a" * 1000),
+        (CHUNKED + b"1\r\na\r\n0\r\n", b"X-Filler: a\r\n" * 100),
+        (CHUNKED, b"1;ext=" + b"a" * 5000 + b"\r\na\r\n"),
+    ],
+    ids=["chunk extension", "trailer", "extensions of many chunks"],
+)
+async def test_chunked_framing_without_an_end_is_refused(start: bytes, filler: bytes) -> None:
+    """Guards against a target that sends framing, and hardly any body, until its caller leaves."""
+
+    async def target(stream: trio.SocketStream) -> None:
+        await stream.receive_some()
+        await stream.send_all(start)
+        while True:
+            await stream.send_all(filler)
+
+    _, result = await _run_exchange(target, _request())
+    assert isinstance(result, ExchangeError)
+    assert result.sent
+
+
+async def test_body_in_chunks_of_one_byte_is_complete() -> None:
+    """Guards against a bound of the framing that refuses valid responses in small chunks."""
+    body = b"ab" * 50_000
+
+    async def target(stream: trio.SocketStream) -> None:
+        await stream.receive_some()
+        await stream.send_all(CHUNKED + b"1\r\na\r\n1\r\nb\r\n" * 50_000 + b"0\r\n\r\n")
+        await trio.sleep(1)
+
+    conn, response = await _run_exchange(target, _request())
+    assert response.body == body
+    assert conn.reusable
