Answer what is left when a stopping host has to exit

Callers whose requests were still at a host at the end of its grace period saw their connection closed without an answer, even if no target had ever got the request. Such a close promises nothing, so a write that had not run was not sent again.

Cause: the host served until 0.6 s before the kill and then cancelled everything.

Evidence: in the test, one request is with a silent target and three wait for a place there; all four connections were closed without a byte. Now the three are refused as not run (503) and the one ends as unknown (504), within the grace period.

The deadline of every request is now at most 0.6 s before the kill, also for requests that were taken before the signal, so each ends in its usual way, and targets are told no more time than is left. Until 0.4 s before the kill the host sends these responses.

--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -45,8 +45,10 @@
 OUT_OF_ROTATION_SECONDS = 2.6
 # Path on the metrics port that tells which configuration is in force on each host.
 HOSTS_PATH = "/hosts"
-# A stopping host exits this long before the platform would kill it.
+# A stopping host ends its last requests this long before the platform would kill it.
 STOP_MARGIN_SECONDS = 0.6
+# It exits this long before, or once their responses have been sent.
+EXIT_MARGIN_SECONDS = 0.4
 
 
 class GatewayHost:
@@ -123,16 +125,18 @@
     async def stop(self) -> None:
         """Leave the rotation, wait for running requests to finish, and return.
 
-        It returns at the latest :data:`STOP_MARGIN_SECONDS` before the grace period ends.
+        It returns at the latest :data:`EXIT_MARGIN_SECONDS` before the grace period ends. Requests
+        that are still unanswered :data:`STOP_MARGIN_SECONDS` before that end with an error.
         """
-        stop_at = trio.current_time() + self.cfg.bounds.stop_grace_seconds - STOP_MARGIN_SECONDS
-        self.stopping = self.sender.stopping = True
+        killed_at = trio.current_time() + self.cfg.bounds.stop_grace_seconds
+        self.stopping = True
+        self.sender.stop(killed_at - STOP_MARGIN_SECONDS)
         self._caller_server.close_after_response = True
         decision("stop", running=self.caller_api.running)
         await self.leadership.release_lease()
         await trio.sleep(OUT_OF_ROTATION_SECONDS)
         await self._caller_server.stop_accepting()
-        while trio.current_time() < stop_at:
+        while trio.current_time() < killed_at - EXIT_MARGIN_SECONDS:
             self._caller_server.close_idle()
             if not self.caller_api.running and not self._caller_server.open_connections:
                 break
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -118,7 +118,7 @@
 
     :ivar chooser: Chooses targets and holds what this host observes of them.
     :ivar stopping: Whether the host is stopping. Requests that targets are working on are answered
-        then, however long that takes.
+        then, as long as the grace period lasts.
     :ivar request_counts: Number of requests since the last report, by service and key.
     """
 
@@ -144,6 +144,9 @@
         self.chooser = TargetChooser(cfg, view, rng or Random())
         self._budgets: dict[str, TokenBudget] = {}
         self._watched: set[_Attempt] = set()
+        # Scopes of all requests, and the time at which the last of them end.
+        self._scopes: set[trio.CancelScope] = set()
+        self._last_deadline = float("inf")
 
     def update_settings(self, cfg: HostSettings) -> None:
         """Apply changed bounds."""
@@ -153,6 +156,13 @@
             # A new budget would be full, so that each reload would permit more retries.
             budget.resize(self._max_retries(), cfg.bounds.retry_ratio * RETRY_BUDGET_SHARE)
 
+    def stop(self, deadline: float) -> None:
+        """Send nothing a second time because of silence, and end all requests by a deadline."""
+        self.stopping = True
+        self._last_deadline = deadline
+        for scope in self._scopes:
+            scope.deadline = min(scope.deadline, deadline)
+
     def report(self) -> Report:
         """Return the load since the last report, for the leader."""
         counts, self.request_counts = self.request_counts, {}
@@ -230,10 +240,14 @@
         ):
             raise NotRun("quarantined", "targets crashed while running this request")
         deadline = min(req.deadline, req.received_at + route.timeout_seconds)
-        deadline -= RESPONSE_MARGIN_SECONDS
+        deadline = min(deadline - RESPONSE_MARGIN_SECONDS, self._last_deadline)
         attempts.repeats = Repeats(partial(self._attempt, req, route, service, attempts, deadline))
-        with trio.move_on_at(deadline):
-            return await attempts.repeats.run()
+        with trio.CancelScope(deadline=deadline) as scope:
+            self._scopes.add(scope)
+            try:
+                return await attempts.repeats.run()
+            finally:
+                self._scopes.discard(scope)
         if attempts.repeats.response is not None:
             return attempts.repeats.response
         if attempts.may_have_run:
