Send a refused request again on another connection only

A write could run twice. A target that refuses a request while it has free slots gets it again, and so does one that was not the owner. The second sending mostly went over the same connection, with the same attempt id. When a second copy of the refusal arrived there, it carried the right id and was taken for the answer to the second sending, at which the target was at work: the host sent the request a third time, or told its caller that it had not run.

Cause: the echoed id tells requests apart, but not two sendings of one request. Extra copies of an answer are a fault that PROTOCOL.md names.

Evidence: in the test, the target sends the copy when the request reaches it again; it received the fee three times, and ran two of them. Now it receives it twice and runs it once.

The attempts of a request remember which connections have carried it, and the pool gives it another one. A copy then meets a different request and is skipped by its id.

--- a/radishshunt/gateway/attempts.py
+++ b/radishshunt/gateway/attempts.py
@@ -11,6 +11,7 @@
 from radishshunt.policy.direct.overload import OverloadGate
 
 if TYPE_CHECKING:
+    from radishshunt.gateway.exchange import Connection
     from radishshunt.gateway.repeats import Repeats
     from radishshunt.gateway.target_pool import TargetPool
     from radishshunt.policy.direct.target_load import TargetLoadEstimate
@@ -69,6 +70,7 @@
     :ivar sends: Number of attempts to send the request so far.
     :ivar may_have_run: Whether a target may have run the request.
     :ivar possible_runners: Targets that may have run the request.
+    :ivar connections: Connections that have carried the request.
     :ivar refused_by: Targets that refused the request or could not be reached.
     :ivar retry_reserved: Whether the budget has been charged for another attempt already.
     :ivar last_non_owner: Registration and incarnation of the last target that reported not to hold
@@ -81,6 +83,7 @@
     sends: int = 0
     may_have_run: bool = False
     possible_runners: set[str] = field(default_factory=set)
+    connections: set[Connection] = field(default_factory=set)
     refused_by: set[str] = field(default_factory=set)
     retry_reserved: bool = False
     last_non_owner: tuple[str, int] | None = None
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -320,7 +320,10 @@
         )
         try:
             return await attempt.state.pool.exchange(
-                target_request, repeatable=repeatable, on_send=attempt.attempts.mark_sent
+                target_request,
+                repeatable=repeatable,
+                on_send=attempt.attempts.mark_sent,
+                used=attempt.attempts.connections,
             )
         finally:
             self._watched.discard(attempt)
--- a/radishshunt/gateway/target_pool.py
+++ b/radishshunt/gateway/target_pool.py
@@ -48,6 +48,7 @@
         *,
         repeatable: bool,
         on_send: Callable[[], None] | None = None,
+        used: set[Connection] | None = None,
     ) -> HttpResponse:
         """Send a request and return its complete response.
 
@@ -56,9 +57,14 @@
 
         :param repeatable: Whether the request may run twice.
         :param on_send: Called right before the first byte is written.
+        :param used: Connections that have carried the same request and carry it no more, as a
+            second copy of an earlier response could not be told from the next one. The connection
+            of this exchange is added.
         :raises ExchangeError: If there is no complete response.
         """
-        conn = self._pop_idle(repeatable) or await self._connect(CONNECT_TIMEOUT_SECONDS)
+        used = set() if used is None else used
+        conn = self._pop_idle(repeatable, used) or await self._connect(CONNECT_TIMEOUT_SECONDS)
+        used.add(conn)
         try:
             response = await conn.exchange(req, on_send)
         except BaseException:
@@ -86,17 +92,19 @@
                 conn.close()
         self._idle_connections = usable
 
-    def _pop_idle(self, repeatable: bool) -> Connection | None:
+    def _pop_idle(self, repeatable: bool, used: set[Connection]) -> Connection | None:
         limit = MAX_IDLE_SECONDS if repeatable else MAX_IDLE_SECONDS_NON_REPEATABLE
-        while self._idle_connections:
-            conn = self._idle_connections[-1]
-            if not self._is_usable(conn, limit):
-                if self._is_usable(conn, MAX_IDLE_SECONDS):
-                    # Idle for too long for this request; the remaining ones were idle for longer.
-                    return None
-                self._idle_connections.pop().close()
+        for conn in reversed(self._idle_connections.copy()):
+            if conn in used:
                 continue
-            return self._idle_connections.pop()
+            if self._is_usable(conn, limit):
+                self._idle_connections.remove(conn)
+                return conn
+            if self._is_usable(conn, MAX_IDLE_SECONDS):
+                # Idle for too long for this request; the remaining ones were idle for longer.
+                return None
+            self._idle_connections.remove(conn)
+            conn.close()
         return None
 
     def _is_usable(self, conn: Connection, limit: float) -> bool:
--- a/tests/test_gateway/test_gateway_sender.py
+++ b/tests/test_gateway/test_gateway_sender.py
@@ -373,3 +373,30 @@
     monkeypatch.setattr(Sender, "_exchange", exchange)
     result = await _send(cfg, _Target(respond), "/reads/1", 0.3, b"")
     assert result.status == 200
+
+
+async def test_second_copy_of_a_refusal_is_not_taken_for_the_answer_to_the_next_attempt(
+    cfg: HostSettings,
+) -> None:
+    """Guards against a fee that runs twice, or that is reported as not run though it has run.
+
+    The copy arrives when the same request has been sent to the same target again.
+    """
+    refusal = REFUSAL.replace(b"\r\n\r\n", b"\r\nX-Radishshunt-Attempt-Id: id\r\n\r\n")
+    answer = OK.replace(b"\r\n\r\n", b"\r\nX-Radishshunt-Attempt-Id: id\r\n\r\n")
+    refused_on: list[trio.SocketStream] = []
+
+    async def respond(stream: trio.SocketStream, number: int) -> bool:
+        if stream in refused_on:
+            await stream.send_all(refusal)
+        if number == 1:
+            refused_on.append(stream)
+            await stream.send_all(refusal)
+        else:
+            await stream.send_all(answer)
+        return True
+
+    target = _Target(respond)
+    result = await _send(cfg, target, "/fees/1", 0.9, b"fee")
+    assert result.status == 200
+    assert target.requests == 2
