--- a/tests/test_gateway/test_gateway_restored_store.py
+++ b/tests/test_gateway/test_gateway_restored_store.py
@@ -22,7 +22,7 @@
 from tests.test_gateway.conftest import CONFIGURATION
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
 HOSTS = 3
 # Failure domain of each host; the last one is of the host that starts after a restore.
@@ -36,6 +36,7 @@
     "a-2": "munich",
     "a-3": "munich",
     "a-4": "munich",
+    "a-5": "munich",
 }
 STAYING = ("i-1", "i-2", "i-3", "a-0", "a-1", "a-3")
 APPLY_SECONDS = Bounds().apply_seconds
@@ -52,8 +53,6 @@
 SERVED_AFTER_SECONDS = 3.0
 MAX_UNSERVED_RATIO = 0.1
 SAMPLE_KEYS = range(1_024, KEY_COUNT, 4_096)
-
-
 KEYED_PREFIX = "/reads/"
 UNKEYED_PREFIXES = {name: f"/{name}/" for name in UNKEYED_DOMAINS}
 LATER_PREFIX = "/later/"
@@ -103,6 +102,7 @@
     :ivar ran: Number of requests that each target had run at each named moment.
     :ivar held: Number of keys that each target held at each named moment.
     :ivar calls: Number of calls to the store until each named moment.
+    :ivar early: Results of requests soon after a restore for keys of a target that the copy lacks.
     :ivar final: Results of requests for sampled keys on all hosts, at the end.
     """
 
@@ -115,6 +115,7 @@
         for name, domain in UNKEYED_DOMAINS.items():
             self.targets[name] = FakeTarget(name, loopback(), name, domain)
         self.results: list[Result] = []
+        self.early: list[Result] = []
         self.final: list[Result] = []
         self.marks: dict[str, float] = {}
         self.ran: dict[str, dict[str, int]] = {}
@@ -132,7 +133,8 @@
         await self._nursery.start(self.store.server.run)
         for target in self.targets.values():
             await self._nursery.start(target.server.run)
-            self.store.put("servers", target.id, target.entry())
+            if target.id != "a-5":
+                self.store.put("servers", target.id, target.entry())
         self.store.put("op", "config", FIRST_CONFIGURATION)
         for number in range(HOSTS):
             self.start_host(number)
@@ -236,23 +238,28 @@
         """Sleep until a time after the last restore."""
         await trio.sleep(max(0.0, self.marks["restored"] + seconds - time.monotonic()))
 
-    async def call_sample_keys(self) -> None:
-        """Send a request for each sampled key to every host."""
-        self.mark("final")
+    async def call_keys(self, keys: Iterable[int]) -> list[Result]:
+        """Send a request for each key to every host and return the results."""
         limiters = {number: trio.CapacityLimiter(4) for number in self.hosts}
+        results: list[Result] = []
+
+        async def call(number: int, key: int) -> None:
+            async with limiters[number]:
+                results.append(await self._get(client, number, KEYED_PREFIX, key))
+
         async with (
             httpx.AsyncClient(trust_env=False, timeout=2.0) as client,
             trio.open_nursery() as nursery,
         ):
-            for number, limiter in limiters.items():
-                for key in SAMPLE_KEYS:
-                    nursery.start_soon(self._call_once, client, number, key, limiter)
+            for number in limiters:
+                for key in keys:
+                    nursery.start_soon(call, number, key)
+        return results
 
-    async def _call_once(
-        self, client: httpx.AsyncClient, number: int, key: int, limiter: trio.CapacityLimiter
-    ) -> None:
-        async with limiter:
-            self.final.append(await self._get(client, number, KEYED_PREFIX, key))
+    async def call_sample_keys(self) -> None:
+        """Send the final requests."""
+        self.mark("final")
+        self.final = await self.call_keys(SAMPLE_KEYS)
 
     async def _call(self, number: int, prefixes: tuple[str, ...]) -> None:
         async with httpx.AsyncClient(trust_env=False, timeout=2.0) as client:
@@ -298,9 +305,13 @@
         ]
 
 
-def _held_count(target: FakeTarget) -> int:
+def _held_keys(target: FakeTarget) -> list[int]:
     now = time.monotonic()
-    return sum(ends_at > now for _, ends_at in target._grants.values())
+    return sorted(key for key, (_, ends_at) in target._grants.items() if ends_at > now)
+
+
+def _held_count(target: FakeTarget) -> int:
+    return len(_held_keys(target))
 
 
 def _commands(targets: list[FakeTarget]) -> list[tuple[float, int, str, dict[str, Any]]]:
@@ -385,6 +396,7 @@
     system.store.put("op", "config", LOST_CONFIGURATION)
     system.store.put("op", "evacuate/augsburg", {})
     await system.start_target("i-4")
+    system.store.put("servers", "a-5", system.targets["a-5"].entry())
     system.remove("a-4")
     await system.lose_targets("i-0", "a-2")
     await system.wait_until(lambda: not _held_count(system.targets["i-3"]))
@@ -394,7 +406,9 @@
     system.mark("lost")
     await system.restore_store()
     await system.sleep_until(0.3)
-    system.register("i-4", *STAYING)
+    system.register(*STAYING)
+    await system.sleep_until(0.7)
+    system.early = await system.call_keys(_held_keys(system.targets["i-4"])[::4096])
     await system.sleep_until(0.8)
     system.store.put("op", "config", LOST_CONFIGURATION)
     await system.sleep_until(1.0)
@@ -404,6 +418,7 @@
     await system.sleep_until(1.5)
     system.store.put("op", "config", NEWEST_CONFIGURATION)
     system.mark("newest")
+    system.register("i-4")
     await system.sleep_until(2.0)
     system.drain("i-1", "a-3", sequence=6)
     await system.sleep_until(3.0)
@@ -464,6 +479,18 @@
     assert lost_writes.ran_since("a-4", "lost") == 0
 
 
+def test_target_that_the_copy_lacks_is_used_until_it_registers_again(lost_writes: System) -> None:
+    """Guards against keys without an owner since the copy lacks the target that holds them."""
+    assert lost_writes.early
+    assert _unserved(lost_writes.early) == []
+
+
+def test_target_that_does_not_register_again_gets_no_requests(lost_writes: System) -> None:
+    """Guards against targets that are kept for ever since the copy lacks their removal."""
+    assert lost_writes.ran["lost"]["a-5"] > 0
+    assert lost_writes.ran_since("a-5", "drained") == 0
+
+
 @pytest.mark.parametrize("name", ["i-1", "a-3"])
 def test_target_that_leaves_after_a_restore_gets_no_requests(
     lost_writes: System, name: str
