Count the validity of an identity check from its answer

Cause: a draining target closes each connection after one answer, so the check also holds for the next connection, for 0.25 s from when it was sent.

Now the 0.25 s count from the answer. Together with the time of a command that is 0.85 s, below the 2 s after which an address may be used again. The new test failed before (1 failed, 9 passed in its file).

--- a/radishshunt/gateway/target_grants.py
+++ b/radishshunt/gateway/target_grants.py
@@ -37,7 +37,7 @@
 COMMAND_TIMEOUT_SECONDS = 0.6
 # A target answers a release when its work on the keys has ended.
 RELEASE_TIMEOUT_SECONDS = 2.5
-# An identity check is also valid for a connection that is opened within this time after it.
+# An identity check is also valid for a connection that is opened within this time after its answer.
 IDENTITY_VALID_SECONDS = 0.25
 # Time after which a target no longer holds keys by a command that was sent now.
 MAX_GRANT_LIFETIME_SECONDS = (
@@ -276,8 +276,7 @@
         that were meant for the earlier one.
         """
         check = self._protocol.identity_check(self.entry.address, self._health_path)
-        now = self._clock.now()
-        if now < self._verified_at + IDENTITY_VALID_SECONDS:
+        if self._clock.now() < self._verified_at + IDENTITY_VALID_SECONDS:
             return
         registration = self._protocol.identity(await conn.exchange(check))
         if registration != self.entry.id:
@@ -287,7 +286,7 @@
             )
         if not conn.reusable:
             # A draining target closes each connection after one answer.
-            self._verified_at = now
+            self._verified_at = self._clock.now()
             raise ClosedAfterIdentityCheck("connection closed after the identity check", sent=False)
 
     async def _send(self, command: OutgoingRequest, seconds: float) -> HttpResponse | None:
--- a/tests/test_gateway/test_gateway_target_grants.py
+++ b/tests/test_gateway/test_gateway_target_grants.py
@@ -9,11 +9,16 @@
 import trio
 
 from radishshunt.clock import TrioClock
+from radishshunt.gateway import target_grants
+from radishshunt.gateway.exchange import HttpResponse
 from radishshunt.gateway.model import KeyRange, TargetEntry
 from radishshunt.gateway.target_grants import CLOCK_DRIFT_FACTOR, FenceTooLow, TargetGrants
 from radishshunt.platform.target_protocol import HttpTargetProtocol
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from radishshunt.gateway.exchange import OutgoingRequest
     from tests.test_gateway.conftest import FakeTargets
 
 ADDRESS = "127.0.0.1:9"
@@ -162,3 +167,32 @@
     grants.record_earlier_grant(replace(KEY_RANGE), 0.0)
     await grants.renew(4.0)
     assert fake_targets.commands == []
+
+
+async def test_keys_of_a_slow_target_that_closes_each_connection_are_released(
+    autojump_clock: object, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against keys without an owner for seconds, as a leaving target takes no command."""
+
+    class Connection:
+        reusable = False
+
+        async def exchange(self, _req: OutgoingRequest) -> HttpResponse:
+            await trio.sleep(0.3)
+            return HttpResponse(200, [(b"x-radishshunt-instance-id", b"i-1")], b"")
+
+    class ClosingPool:
+        def __init__(self, _address: str, verify: Callable) -> None:
+            self._verify = verify
+
+        async def exchange(self, _req: OutgoingRequest, *, repeatable: bool) -> HttpResponse:
+            await self._verify(Connection())
+            return HttpResponse(200, [], b"")
+
+    monkeypatch.setattr(target_grants, "TargetPool", ClosingPool)
+    grants = TargetGrants(ENTRY, HttpTargetProtocol(), TrioClock(), lambda: True, "/healthz")
+    grants.record_earlier_grant(KEY_RANGE, 0.0)
+    granted_range = grants.stop_renewing(0, 99)
+    assert granted_range is not None
+    release = await grants.release(granted_range, lambda: 6)
+    assert release.done
