Keep a restored store's uncertainty until all grants of before have ended

- A term with an outdated key map wrote it again, so that the next term took it for certain and gave keys back to former owners while later ones held them (OWNER).
Key maps are now marked as uncertain in the store until all grants that they lack have ended, and a resumed term stays uncertain.
- A term that knows only the copy renewed with the tokens of the copy.
It now assigns the keys anew, with tokens of its own.
- Whether a host knows more than the copy was wrong after two restores; first owners of a service were assigned while lost owners could hold the keys.
- An evacuation was lifted although the store was away, or restored again, before the operators could write it (EVAC).
Disputed rows wait for as long.
- A host that had not read the copy itself kept lost rows for ever; a row that was settled lost against the removal that hosts had been told; a host that started from the copy kept its older configuration.
- No host could lead again after a late write on a version that was given out twice; the store's 410 to a whole read ended the component.

--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -67,7 +67,7 @@
     ) -> None:
         self.cfg = cfg
         self.stopping = False
-        self.view = View(reader, BootClock())
+        self.view = View(reader, BootClock(), cfg.heartbeat_seconds)
         self._store = store
         self._ready_path = ready_path
         self._wall_clock = SystemClock()
@@ -133,8 +133,9 @@
         self.sender.stop(killed_at - STOP_MARGIN_SECONDS)
         self._caller_server.close_after_response = True
         decision("stop", running=self.caller_api.running)
-        await self.leadership.release_lease()
-        await trio.sleep(OUT_OF_ROTATION_SECONDS)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.leadership.release_lease)
+            await trio.sleep(OUT_OF_ROTATION_SECONDS)
         await self._caller_server.stop_accepting()
         while trio.current_time() < killed_at - EXIT_MARGIN_SECONDS:
             self._caller_server.close_idle()
--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -134,7 +134,7 @@
                 continue
             keys = self.mover.services.get(service.name)
             if keys is None:
-                if self.mover.settled:
+                if self.mover.may_assign:
                     self._plan_initial_ranges(service)
             elif not keys.key_map.ranges:
                 continue
--- a/radishshunt/gateway/follower.py
+++ b/radishshunt/gateway/follower.py
@@ -9,7 +9,7 @@
 import trio
 
 from radishshunt.errors import PlatformUnavailable, ProtocolError
-from radishshunt.gateway.rows import HistoryLost, Topic
+from radishshunt.gateway.rows import HistoryLost, Topic, restore_count
 from radishshunt.logs import decision
 from radishshunt.util.backoff import Backoff
 
@@ -55,6 +55,8 @@
         self._bounds = bounds
         self._backoff = Backoff(MIN_BACKOFF_SECONDS, MAX_BACKOFF_SECONDS, rng or Random())
         self._store_lost = False
+        # Restores of the store up to which this host has itself read the whole topic.
+        self._read_restores = 0
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -84,7 +86,7 @@
     async def _fetch(self, wait_seconds: float) -> None:
         version = self._view.versions[self._topic]
         try:
-            if version:
+            if version and not self._missed_restore(version):
                 change = await self._poll(version, wait_seconds)
             else:
                 change = await self._store.read(self._topic)
@@ -93,7 +95,15 @@
             change = await self._store.read(self._topic)
         self._view.record_store_answer()
         self._view.apply(change)
-        self._view.mark_up_to_date(self._topic)
+        self._read_restores = restore_count(change.version)
+        if self._read_restores == restore_count(self._view.versions[self._topic]):
+            self._view.mark_up_to_date(self._topic)
+
+    def _missed_restore(self, version: int) -> bool:
+        """Return whether only a host that this one followed has compared its rows with the copy."""
+        restores = restore_count(version)
+        first_restores = restore_count(self._view.first_versions[self._topic])
+        return self._read_restores != restores and restores > min(first_restores, 1)
 
     async def _poll(self, version: int, wait_seconds: float) -> Change:
         with trio.move_on_after(wait_seconds + CALL_MARGIN_SECONDS):
--- a/radishshunt/gateway/key_maps.py
+++ b/radishshunt/gateway/key_maps.py
@@ -27,23 +27,28 @@
 MAX_PARTS = 64
 
 
-def encode_key_map(key_map: KeyMap) -> bytes:
-    """Encode a key map as the value of a single row."""
-    return _encode({"next_fence": key_map.next_fence, "ranges": _range_fields(key_map.ranges)})
+def encode_key_map(key_map: KeyMap, *, uncertain: bool = False) -> bytes:
+    """Encode a key map as the value of a single row.
+
+    :param uncertain: Whether targets may hold keys by a newer key map that was lost.
+    """
+    doc = {"next_fence": key_map.next_fence, "ranges": _range_fields(key_map.ranges)}
+    return _encode(doc | {"uncertain": True} if uncertain else doc)
 
 
 def encode_key_map_rows(
-    service: str, key_map: KeyMap, parts: int, max_row_bytes: int
+    service: str, key_map: KeyMap, parts: int, max_row_bytes: int, *, uncertain: bool = False
 ) -> tuple[dict[str, bytes], int]:
     """Encode a key map as rows: one row, or an index row and one row for each part.
 
     :param parts: Number of parts of the earlier version, which does not shrink; 0 for one row.
     :param max_row_bytes: Maximum size of a row's value.
+    :param uncertain: Whether targets may hold keys by a newer key map that was lost.
     :return: Value of each row by key, and the number of parts.
     """
     row_key = KEY_MAP_PREFIX + service
     if not parts:
-        value = encode_key_map(key_map)
+        value = encode_key_map(key_map, uncertain=uncertain)
         if len(value) <= min(MAX_UNDIVIDED_BYTES, max_row_bytes):
             return {row_key: value}, 0
         parts = 1
@@ -55,7 +60,8 @@
             for number, ranges in enumerate(_divide(key_map.ranges, parts))
         }
         if parts >= MAX_PARTS or max(len(value) for value in rows.values()) <= max_row_bytes:
-            rows[row_key] = _encode({"next_fence": key_map.next_fence, "parts": parts})
+            doc = {"next_fence": key_map.next_fence, "parts": parts}
+            rows[row_key] = _encode(doc | {"uncertain": True} if uncertain else doc)
             return rows, parts
         parts *= 2
 
@@ -122,10 +128,12 @@
     """Builds the key indexes of all services from their rows.
 
     :ivar indexes: Index of each service whose key map is known.
+    :ivar uncertain: Services whose targets may hold keys by a newer key map that was lost.
     """
 
     def __init__(self) -> None:
         self.indexes: dict[str, KeyIndex] = {}
+        self.uncertain: set[str] = set()
         # Ranges of each part by service and number of parts, also before the index row is known.
         self._parts: dict[tuple[str, int], dict[int, tuple[KeyRange, ...]]] = {}
 
@@ -137,6 +145,7 @@
         doc = _decode_index(value)
         if "parts" not in doc:
             self.indexes[service] = KeyIndex.of(decode_key_map(value))
+            self._mark_uncertain(service, doc)
             return
         count = doc["parts"]
         if not isinstance(count, int) or not 1 <= count <= MAX_PARTS:
@@ -145,6 +154,13 @@
         self.indexes[service] = KeyIndex(
             _next_fence(doc), [known.get(number) for number in range(count)]
         )
+        self._mark_uncertain(service, doc)
+
+    def _mark_uncertain(self, service: str, doc: dict) -> None:
+        if doc.get("uncertain"):
+            self.uncertain.add(service)
+        else:
+            self.uncertain.discard(service)
 
     def apply_part_row(self, key: str, value: bytes) -> None:
         """Apply the row of one part.
--- a/radishshunt/gateway/key_mover.py
+++ b/radishshunt/gateway/key_mover.py
@@ -15,9 +15,9 @@
     split_ranges,
     subtract,
 )
-from radishshunt.gateway.leadership import LeaseLost
+from radishshunt.gateway.leadership import LEASE_SECONDS, LeaseLost
 from radishshunt.gateway.model import KeyMap, KeyRange, TargetEntry
-from radishshunt.gateway.rows import Row
+from radishshunt.gateway.rows import Row, Topic, restore_count
 from radishshunt.gateway.target_grants import (
     GRANT_SECONDS,
     MAX_GRANT_LIFETIME_SECONDS,
@@ -141,10 +141,20 @@
             or self._clock.now() >= self._unknown_grants_expiry()
         )
 
+    @property
+    def may_assign(self) -> bool:
+        """Whether no target can hold keys for which no key map is known."""
+        restored = restore_count(self._view.versions[Topic.OWN]) > 1
+        return (
+            not restored
+            or self._leadership.resumed
+            or self._clock.now() >= self._unknown_grants_expiry()
+        )
+
     def may_move(self, key_range: KeyRange) -> bool:
         """Return whether the owner of a range is known for certain."""
         grants = self.grants.get((key_range.target, key_range.incarnation))
-        return self.settled or (grants is not None and grants.is_confirmed(key_range))
+        return self.settled or (grants is not None and grants.has_accepted(key_range))
 
     def update_settings(self, cfg: HostSettings) -> None:
         """Apply changed bounds from the settings."""
@@ -185,11 +195,23 @@
                 ranges=len(keys.key_map.ranges),
                 reason="term-start",
             )
+            if self._leadership.key_maps_lost:
+                self._assign_known_owners(name, keys)
+                continue
             for key_range in keys.key_map.ranges:
                 self._record_earlier_grant(key_range, name, unknown_grants_expiry)
             if keys.key_map.ranges and not self._leadership.is_confirmed(name):
                 nursery.start_soon(self._rewrite_key_map, name, keys)
 
+    def _assign_known_owners(self, service: str, keys: ServiceKeys) -> None:
+        """Assign keys that nobody holds to their owners in an older key map, with new tokens."""
+        for key_range in keys.key_map.ranges:
+            target = key_range.target
+            move = ActiveMove(service, key_range.first, key_range.last, target, target)
+            keys.moves.append(move)
+            keys.ready_moves.append(move)
+        self._start_commit(service)
+
     def _first_fence(self) -> int:
         """Return a fencing token above all that earlier terms have allocated."""
         return self._leadership.acquired_ms * FENCES_PER_MS
@@ -424,7 +446,11 @@
 
     def _unknown_grants_expiry(self) -> float:
         """Return until when a target may hold keys by a grant that this term has no record of."""
-        return self._started_at + MAX_GRANT_LIFETIME_SECONDS
+        expiry = self._started_at + MAX_GRANT_LIFETIME_SECONDS
+        if self._leadership.key_maps_uncertain and not self._leadership.key_maps_lost:
+            # A leader of before the restore does not notice that its lease was acquired.
+            expiry += LEASE_SECONDS
+        return expiry
 
     async def _wait_for_expiry(
         self, expiry: float, owner: KeyRange, released_from: set[int] | None = None
@@ -505,7 +531,9 @@
         return granted
 
     async def _rewrite_key_map(self, service: str, keys: ServiceKeys) -> None:
-        """Write a key map again that the store may have lost."""
+        """Write a key map again that the store may have lost, once it is certain."""
+        while not self.settled:
+            await trio.sleep(LEASE_CHECK_INTERVAL_SECONDS)
         async with keys.write_lock:
             new = KeyMap(keys.key_map.ranges, keys.next_unused_fence)
             await self._write_key_map(service, keys, new)
@@ -516,7 +544,9 @@
         Only the leader writes key maps, so a conflict comes from an earlier write by this host.
         """
         row_key = KEY_MAP_PREFIX + service
-        rows, parts = encode_key_map_rows(service, new, keys.parts, self._cfg.max_row_bytes)
+        rows, parts = encode_key_map_rows(
+            service, new, keys.parts, self._cfg.max_row_bytes, uncertain=not self.settled
+        )
         # The index row is part of each write, so that its version stands for all rows.
         changed = [
             (key, value)
--- a/radishshunt/gateway/leadership.py
+++ b/radishshunt/gateway/leadership.py
@@ -11,6 +11,7 @@
 import trio
 
 from radishshunt.errors import PlatformOutcomeUnknown, PlatformUnavailable, ProtocolError
+from radishshunt.gateway.key_maps import KEY_MAP_PREFIX
 from radishshunt.gateway.rows import (
     Change,
     HistoryLost,
@@ -209,17 +210,20 @@
 
     @property
     def _key_maps_confirmed(self) -> bool:
-        """Whether the store has all known key maps since its last restore."""
+        """Whether the known key maps were all written since the last restore, and for certain."""
         restores = restore_count(self._view.versions[Topic.OWN])
-        return all(
+        return not self._view.uncertain_key_maps and all(
             restore_count(version) == restores for version in self._view.key_map_versions.values()
         )
 
     @property
     def _knows_lost_rows(self) -> bool:
-        """Whether this host has followed the router's own rows since before the last restore."""
-        versions, first_versions = self._view.versions, self._view.first_versions
-        return restore_count(first_versions[Topic.OWN]) < restore_count(versions[Topic.OWN])
+        """Whether this host has followed the key maps since the store wrote those of the copy."""
+        first_restores = restore_count(self._view.first_versions[Topic.OWN])
+        return all(
+            first_restores <= restore_count(version)
+            for version in self._view.key_map_versions.values()
+        )
 
     def _may_acquire(self, delay: float) -> bool:
         leader = self._view.leader
@@ -260,6 +264,9 @@
                 )
                 if row is not None:
                     self._view.apply(Change(Topic.OWN, (row,), 0, whole=False))
+                if self._view.leader.version == known:
+                    # The store has a row that counts as older than the known one.
+                    self._store_restored = True
                 return False
             version = row.version
         # Another host can lead only after the lease has expired, and not after a restore.
@@ -303,12 +310,17 @@
     def is_confirmed(self, service: str) -> bool:
         """Return whether the store has the known key map of a service since its last restore."""
         version = self._view.key_map_versions[service]
-        return restore_count(version) == restore_count(self._version)
+        return (
+            restore_count(version) == restore_count(self._version)
+            and service not in self._view.uncertain_key_maps
+            and self.stored_versions.get(KEY_MAP_PREFIX + service) == version
+        )
 
     def _judge_key_maps(self) -> None:
         """Judge whether the known key maps are the newest ones that were ever written."""
         unconfirmed = not self._key_maps_confirmed
-        self.key_maps_uncertain = unconfirmed and not self.resumed
+        # An earlier term of this host may have ended before the uncertainty did.
+        self.key_maps_uncertain = unconfirmed and (not self.resumed or self.key_maps_uncertain)
         self.key_maps_lost = self.key_maps_uncertain and not self._knows_lost_rows
         if unconfirmed:
             decision(
--- a/radishshunt/gateway/target_grants.py
+++ b/radishshunt/gateway/target_grants.py
@@ -53,12 +53,12 @@
 
     :param until: Time until which the target may hold keys by these grants.
     :param unanswered_until: Time until which an unanswered command may still take effect.
-    :param confirmed: Whether the target has accepted a grant with the token in this term.
+    :param accepted: Whether the target has accepted a grant with the token in this term.
     """
 
     until: float = float("-inf")
     unanswered_until: float = float("-inf")
-    confirmed: bool = False
+    accepted: bool = False
 
 
 @dataclass(frozen=True, slots=True, eq=False)
@@ -150,10 +150,10 @@
         """
         self.renewed_ranges.clear()
 
-    def is_confirmed(self, keys: KeyRange) -> bool:
+    def has_accepted(self, keys: KeyRange) -> bool:
         """Return whether the target has accepted a renewal of a range in this term."""
         return any(
-            first <= keys.first and keys.last <= last and granted.expiry.confirmed
+            first <= keys.first and keys.last <= last and granted.expiry.accepted
             for (first, last), granted in self.renewed_ranges.items()
         )
 
@@ -266,7 +266,7 @@
             return 0
         if answer.status == STATUS_CONFLICT:
             raise FenceTooLow(granted.keys.fence)
-        expiry.confirmed = expiry.confirmed or answer.status == STATUS_OK
+        expiry.accepted = expiry.accepted or answer.status == STATUS_OK
         return answer.status
 
     async def _verify(self, conn: Connection) -> None:
--- a/radishshunt/gateway/view.py
+++ b/radishshunt/gateway/view.py
@@ -4,7 +4,7 @@
 
 import json
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 import trio
@@ -35,7 +35,9 @@
 GONE_RETENTION_SECONDS = 30.0
 # After a restore of the store, its writers write again what the copy lacks, and the entries of
 # targets that have left expire after three heartbeats. Until then, newer knowledge goes first.
-RESTORED_ROW_SECONDS = 4.0
+RESTORED_ROW_HEARTBEATS = 4.0
+# A gap of more than this between two answers of the store delays the settlement of its rows.
+DISPUTE_GAP_SECONDS = 1.0
 # A gap of more than this between two answers of the store counts as an outage.
 STORE_OUTAGE_SECONDS = 2.5
 
@@ -58,6 +60,20 @@
     expired_in_outage: bool = False
 
 
+@dataclass(slots=True)
+class DisputedRow:
+    """A row of a restored store that contradicts what this host knew before the restore.
+
+    :param row: The row, ``None`` if the store lacks it.
+    :param restores: Number of restores of the store.
+    :param deadline: Time from which the row counts if nobody has written it again.
+    """
+
+    row: Row | None
+    restores: int
+    deadline: float
+
+
 @dataclass(frozen=True, slots=True)
 class Leader:
     """The leader according to its row in the store.
@@ -73,15 +89,18 @@
 
 
 class View:
-    """Local view of one host; its rows change only by :meth:`apply`.
+    """Local view of one host; its rows change only by :meth:`apply` and after a restore.
+
+    :param heartbeat_seconds: Interval in which targets renew their entries.
 
     :ivar versions: Newest known version of the store by topic; 0 before the first read.
     :ivar first_versions: Version of the store up to which a topic was known first.
     :ivar changed: Set at each change, then replaced by a new event.
     """
 
-    def __init__(self, reader: RowReader, clock: Clock) -> None:
+    def __init__(self, reader: RowReader, clock: Clock, heartbeat_seconds: float = 1.0) -> None:
         self.clock = clock
+        self._restored_row_seconds = RESTORED_ROW_HEARTBEATS * heartbeat_seconds
         self.cfg: Configuration | None = None
         self.targets: dict[str, Target] = {}
         self.evacuated: dict[str, float] = {}
@@ -98,11 +117,8 @@
         self._removals: dict[Topic, dict[str, tuple[int, float]]] = {topic: {} for topic in Topic}
         # Version since which no removal has been forgotten.
         self._removals_since: dict[Topic, int] = dict.fromkeys(Topic, 0)
-        # Rows of a restored store that contradict what this host knew before, ``None`` for a
-        # missing row, with the time at which they are applied if they have not changed.
-        self._disputed_rows: dict[Topic, dict[str, tuple[Row | None, float]]] = {
-            topic: {} for topic in Topic
-        }
+        # Rows of a restored store that contradict what this host knew before, by key.
+        self._disputed_rows: dict[Topic, dict[str, DisputedRow]] = {topic: {} for topic in Topic}
         self.rows: dict[Topic, dict[str, Row]] = {topic: {} for topic in Topic}
         self.changed = trio.Event()
         # Called with each applied change, or with ``None`` when the set of moving keys changed.
@@ -119,6 +135,11 @@
         """Index of the key map of each service."""
         return self._key_map_rows.indexes
 
+    @property
+    def uncertain_key_maps(self) -> set[str]:
+        """Services whose targets may hold keys by a newer key map that was lost."""
+        return self._key_map_rows.uncertain
+
     @property
     def complete(self) -> bool:
         """Whether every topic has been read and a configuration is known."""
@@ -130,6 +151,12 @@
         :param age: Seconds since the answer.
         """
         answered_at = self.clock.now() - age
+        gap = answered_at - self._store_answered_at
+        if gap > DISPUTE_GAP_SECONDS:
+            # Nobody could write while the store was away.
+            for disputed_rows in self._disputed_rows.values():
+                for disputed in disputed_rows.values():
+                    disputed.deadline += gap - DISPUTE_GAP_SECONDS
         if answered_at - self._store_answered_at > STORE_OUTAGE_SECONDS:
             self._outage_ended_at = self.clock.now()
         self._store_answered_at = max(self._store_answered_at, answered_at)
@@ -191,12 +218,9 @@
             if key in present:
                 continue
             if restore_count(change.version) > restore_count(row.version):
-                deadline = self.clock.now() + (
-                    REREGISTRATION_SECONDS
-                    if change.topic is Topic.TARGETS
-                    else RESTORED_ROW_SECONDS
-                )
-                self._disputed_rows[change.topic].setdefault(key, (None, deadline))
+                missing_target = change.topic is Topic.TARGETS
+                seconds = REREGISTRATION_SECONDS if missing_target else self._restored_row_seconds
+                self._dispute(change.topic, key, None, change.version, seconds)
             else:
                 removed.append(Row(key, change.version, None))
         return tuple(removed)
@@ -216,12 +240,25 @@
             and restore_count(known_version) < restore_count(row.version)
             and self._contradicts_newer_knowledge(topic, row)
         ):
-            deadline = self.clock.now() + RESTORED_ROW_SECONDS
-            disputed[row.key] = (row, disputed.get(row.key, (None, deadline))[1])
+            self._dispute(topic, row.key, row, row.version, self._restored_row_seconds)
             return False
         disputed.pop(row.key, None)
         return self._apply_newer(topic, row)
 
+    def _dispute(
+        self, topic: Topic, key: str, row: Row | None, version: int, seconds: float
+    ) -> None:
+        """Record a row of a restored store that is not applied yet.
+
+        :param version: Version of the store, which tells the restore.
+        :param seconds: Time in which the row can be written again.
+        """
+        known = self._disputed_rows[topic].get(key)
+        deadline = self.clock.now() + seconds
+        if known is not None and known.restores == restore_count(version):
+            deadline = known.deadline
+        self._disputed_rows[topic][key] = DisputedRow(row, restore_count(version), deadline)
+
     def _apply_newer(self, topic: Topic, row: Row) -> bool:
         """Apply a row that is newer than the known one, and return whether it was recorded."""
         known_rows, removals = self.rows[topic], self._removals[topic]
@@ -254,16 +291,21 @@
 
     def settle_disputed_rows(self) -> None:
         """Apply rows of a restored store that nobody has written again in time."""
-        now = self.clock.now()
-        for topic, disputed in self._disputed_rows.items():
-            for key, (row, deadline) in list(disputed.items()):
-                if now < deadline:
+        for topic, disputed_rows in self._disputed_rows.items():
+            for key, disputed in list(disputed_rows.items()):
+                if self._store_answered_at < disputed.deadline:
                     continue
-                del disputed[key]
-                settled = row or Row(key, self.versions[topic], None)
-                decision("row-settled", topic=topic.value, key=key, exists=row is not None)
-                if self._apply_newer(topic, settled):
-                    self._notify(Change(topic, (settled,), 0, whole=False))
+                del disputed_rows[key]
+                version = self.versions[topic]
+                row = disputed.row
+                if row is None:
+                    row = Row(key, version, None)
+                else:
+                    # Hosts may have been told that the row was removed.
+                    row = replace(row, version=max(version, row.version + 2))
+                decision("row-settled", topic=topic.value, key=key, exists=disputed.row is not None)
+                if self._apply_newer(topic, row):
+                    self._notify(Change(topic, (row,), 0, whole=False))
 
     def changes_since(self, versions: Mapping[Topic, int]) -> tuple[Change, ...]:
         """Return what a host lacks that has all rows up to the given versions.
@@ -287,10 +329,16 @@
             )
             # A host that has started since a restore of the store knows only the copy.
             rows += tuple(
-                Row(key, version, None)
-                for key, (row, _) in self._disputed_rows[topic].items()
-                if row is not None
+                Row(key, disputed.row.version + 1, None)
+                for key, disputed in self._disputed_rows[topic].items()
+                if disputed.row is not None
             )
+            if topic is not Topic.OWN and restore_count(known) == restore_count(version):
+                rows += tuple(
+                    replace(row, version=version)
+                    for row in self.rows[topic].values()
+                    if restore_count(row.version) < restore_count(version)
+                )
             if rows or known < version:
                 changes.append(Change(topic, rows, version, whole=False))
         return tuple(changes)
--- a/radishshunt/platform/store.py
+++ b/radishshunt/platform/store.py
@@ -88,7 +88,10 @@
             query = {"Table": _TABLES[topic], "part": "", "Limit": PAGE_ROWS}
             if start_key:
                 query["From"] = start_key
-            doc = await self._read_call(ROWS_PATH, query, 0.0)
+            try:
+                doc = await self._read_call(ROWS_PATH, query, 0.0)
+            except HistoryLost as exc:
+                raise PlatformUnavailable(f"{ROWS_PATH}: status {HISTORY_GONE_STATUS}") from exc
             if version and restore_count(version) != self._restores:
                 raise PlatformUnavailable(f"{ROWS_PATH}: the store was restored between two pages")
             page = self._decode_rows(topic, doc.get("Rows", []))
--- a/tests/test_gateway/test_gateway_view.py
+++ b/tests/test_gateway/test_gateway_view.py
@@ -10,7 +10,7 @@
 from radishshunt.gateway.key_maps import encode_key_map
 from radishshunt.gateway.model import LAST_KEY, KeyMap, KeyRange
 from radishshunt.gateway.rows import RESTORE_SHIFT, Change, Row, Topic
-from radishshunt.gateway.view import RESTORED_ROW_SECONDS, View
+from radishshunt.gateway.view import RESTORED_ROW_HEARTBEATS, View
 from radishshunt.platform.catalog import CatalogReader
 from tests.test_gateway.conftest import CONFIGURATION, apply_row, entry_value
 
@@ -110,11 +110,24 @@
     assert not view.targets["i-2"].gone
 
 
+# With the view's default of one heartbeat a second.
+RESTORED_ROW_SECONDS = RESTORED_ROW_HEARTBEATS
+
+
 def _after_restore(version: int) -> int:
     """Return the version that a store restored once gives out."""
     return 1 << RESTORE_SHIFT | version
 
 
+async def _follow_store(view: View, seconds: float) -> None:
+    """Let the store answer for some seconds."""
+    deadline = trio.current_time() + seconds
+    while trio.current_time() < deadline:
+        view.record_store_answer()
+        view.settle_disputed_rows()
+        await trio.sleep(0.2)
+
+
 async def test_target_that_left_is_not_in_use_again_after_a_restore_of_the_store(
     autojump_clock: object, view: View
 ) -> None:
@@ -143,11 +156,9 @@
     apply_row(view, Topic.TARGETS, "i-1", None, 9)
     row = Row("i-1", _after_restore(5), entry_value())
     view.apply(Change(Topic.TARGETS, (row,), _after_restore(7), whole=True))
-    await trio.sleep(RESTORED_ROW_SECONDS - 0.1)
-    view.settle_disputed_rows()
+    await _follow_store(view, RESTORED_ROW_SECONDS - 0.1)
     assert view.targets["i-1"].gone
-    await trio.sleep(0.2)
-    view.settle_disputed_rows()
+    await _follow_store(view, 0.5)
     assert not view.targets["i-1"].gone
 
 
@@ -167,8 +178,7 @@
     assert view.rows[Topic.OPERATOR]["config"].version == 4
     assert "munich" in view.evacuated
     assert not view.targets["i-1"].gone
-    await trio.sleep(RESTORED_ROW_SECONDS)
-    view.settle_disputed_rows()
+    await _follow_store(view, RESTORED_ROW_SECONDS + 0.5)
     assert "munich" not in view.evacuated
     assert view.targets["i-1"].gone
 
@@ -183,3 +193,22 @@
     view.apply(Change(Topic.OWN, (copied,), _after_restore(6), whole=True))
     assert view.find_key_range("register", 0).target == "i-new"
     assert view.find_key_range("other", 0).target == "i-new"
+
+
+@pytest.mark.parametrize("restored_again", [False, True])
+async def test_evacuation_stays_in_force_while_nobody_can_write_it_again(
+    autojump_clock: object, view: View, restored_again: bool
+) -> None:
+    """Guards against requests to an evacuated domain, as the store is away after its restore."""
+    apply_row(view, Topic.OPERATOR, "evacuate/munich", b"{}", 5)
+    view.apply(Change(Topic.OPERATOR, (), _after_restore(3), whole=True))
+    await _follow_store(view, 1.0)
+    if restored_again:
+        await _follow_store(view, RESTORED_ROW_SECONDS - 1.5)
+        view.apply(Change(Topic.OPERATOR, (), 2 << RESTORE_SHIFT | 3, whole=True))
+    else:
+        await trio.sleep(RESTORED_ROW_SECONDS)
+    await _follow_store(view, 1.0)
+    assert "munich" in view.evacuated
+    await _follow_store(view, RESTORED_ROW_SECONDS)
+    assert "munich" not in view.evacuated
