Stop on time though the release of the lease is slow

A leader that was stopping kept its listener and idle connections open for as long as the release of its lease took. Requests that came on them late could still be at a target when the host had to exit, and were broken off.

Cause: the stop first waited for the release, which waits for writes that are under way (1 s each with a silent store) and for its own (0.5 s), and began to count the time out of rotation then.

Evidence: in the test the release takes 3.2 s; an idle connection was still open 3 s after the stop began. Now it is closed, and the stop still waits for the release.

The release runs beside the rest of the stop, and both end when the host has to exit.

--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -133,13 +133,20 @@
         self.sender.stop(killed_at - STOP_MARGIN_SECONDS)
         self._caller_server.close_after_response = True
         decision("stop", running=self.caller_api.running)
-        await self.leadership.release_lease()
-        await trio.sleep(OUT_OF_ROTATION_SECONDS)
-        await self._caller_server.stop_accepting()
-        while trio.current_time() < killed_at - EXIT_MARGIN_SECONDS:
+        with trio.move_on_at(killed_at - EXIT_MARGIN_SECONDS):
+            async with trio.open_nursery() as nursery:
+                # The store may be slow, and callers must not wait for it.
+                nursery.start_soon(self.leadership.release_lease)
+                await trio.sleep(OUT_OF_ROTATION_SECONDS)
+                await self._caller_server.stop_accepting()
+                await self._wait_until_unused()
+
+    async def _wait_until_unused(self) -> None:
+        """Close connections as they become idle, until there are none and no requests."""
+        while True:
             self._caller_server.close_idle()
             if not self.caller_api.running and not self._caller_server.open_connections:
-                break
+                return
             await trio.sleep(0.05)
 
     def _follower(self, topic: Topic) -> Follower:
--- a/tests/test_gateway/test_gateway_stop.py
+++ b/tests/test_gateway/test_gateway_stop.py
@@ -218,3 +218,33 @@
     assert sorted(response[:12] for response in responses) == [b"HTTP/1.1 503"] * 3 + [
         b"HTTP/1.1 504"
     ]
+
+
+async def test_slow_release_of_the_lease_does_not_delay_the_stop(
+    loopback: Callable[[], str], cfg: HostSettings, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a leader that serves idle connections until its exit, while the store is slow.
+
+    A request that arrives late would be given up at its target when the grace period ends.
+    """
+    callers = loopback()
+    cfg = replace(cfg, callers_address=callers)
+    store = HttpRowStore(cfg.store_address)
+    host = GatewayHost(cfg, store, CatalogReader(), HttpTargetProtocol(), "/ready")
+    released = trio.Event()
+
+    async def release_lease() -> None:
+        await trio.sleep(3.2)
+        released.set()
+
+    monkeypatch.setattr(host.leadership, "release_lease", release_lease)
+    ip, _, port = callers.rpartition(":")
+    async with trio.open_nursery() as nursery:
+        await nursery.start(host._caller_server.run)
+        idle = await trio.open_tcp_stream(ip, int(port))
+        async with trio.open_nursery() as stopping:
+            stopping.start_soon(host.stop)
+            with trio.fail_after(3.0):
+                assert await idle.receive_some() == b""
+        assert released.is_set()
+        nursery.cancel_scope.cancel()
