--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -26,10 +26,10 @@
 
 if TYPE_CHECKING:
     from radishshunt.clock import Clock
-    from radishshunt.gateway.key_mover import ServiceKeys
     from radishshunt.gateway.leadership import Leadership
     from radishshunt.gateway.model import KeyRange, Service
     from radishshunt.gateway.protocol import TargetProtocol
+    from radishshunt.gateway.service_keys import ServiceKeys
     from radishshunt.gateway.settings import HostSettings
     from radishshunt.gateway.view import Target, View
 
@@ -115,7 +115,7 @@
     async def _run_term(self, nursery: trio.Nursery) -> None:
         await self._leadership.read_rows()
         self._started_at = self._clock.now()
-        if self._leadership.key_maps_lost:
+        if self._leadership.only_copy_known:
             # Only the targets know who holds which keys, until all earlier grants have ended.
             await trio.sleep(MAX_GRANT_LIFETIME_SECONDS)
         self.mover.start_term(nursery, self._started_at)
--- a/radishshunt/gateway/gateway.capnp
+++ b/radishshunt/gateway/gateway.capnp
@@ -8,7 +8,7 @@
   version @1 :UInt64;
   value @2 :Data;
   gone @3 :Bool;
-  # Version of the row on which a difference-encoded value is based; 0 if the value is complete.
+  # Version of the row on which a delta is based; 0 if the value is complete.
   base @4 :UInt64;
 }
 
--- a/radishshunt/gateway/key_mover.py
+++ b/radishshunt/gateway/key_mover.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import trio
@@ -18,6 +17,7 @@
 from radishshunt.gateway.leadership import LEASE_SECONDS, LeaseLost
 from radishshunt.gateway.model import KeyMap, KeyRange, TargetEntry
 from radishshunt.gateway.rows import Row, Topic, restore_count
+from radishshunt.gateway.service_keys import ActiveMove, ServiceKeys
 from radishshunt.gateway.target_grants import (
     GRANT_SECONDS,
     MAX_GRANT_LIFETIME_SECONDS,
@@ -50,53 +50,6 @@
 FENCES_PER_MS = 100
 
 
-@dataclass(slots=True, eq=False)
-class ActiveMove:
-    """A move in progress.
-
-    :param handover: Handover text from the source's answer to the release, empty if there is none.
-    :param held_until: Time until which the new owner may hold keys by grants of before the move.
-    """
-
-    service: str
-    first: int
-    last: int
-    source: str
-    to: str
-    handover: str = ""
-    held_until: float = float("-inf")
-
-
-@dataclass(slots=True)
-class ServiceKeys:
-    """Keys of one service in this term.
-
-    :param version: Version of the row that holds the key map or its index.
-    :param parts: Number of parts into which the key map is divided in the store; 0 if it is not.
-    :param written: Value of each row of the key map as last written in this term, by key.
-    :param moves: Moves in progress.
-    :param ready_moves: Moves whose keys no former owner holds any more; not yet committed.
-    :param next_unused_fence: Fencing token that is allocated next.
-    """
-
-    key_map: KeyMap
-    version: int
-    parts: int = 0
-    written: dict[str, bytes] = field(default_factory=dict)
-    moves: list[ActiveMove] = field(default_factory=list)
-    ready_moves: list[ActiveMove] = field(default_factory=list)
-    next_unused_fence: int = 0
-    # Serializes writes, since each key map is built from the one written before.
-    write_lock: trio.Lock = field(default_factory=trio.Lock)
-
-    def allocate_fence(self) -> int:
-        """Return a fencing token that has never been used."""
-        self.next_unused_fence = max(self.next_unused_fence, self.key_map.next_fence)
-        fence = self.next_unused_fence
-        self.next_unused_fence += 1
-        return fence
-
-
 class KeyMover:
     """Owns the grants of a term and executes moves.
 
@@ -195,12 +148,12 @@
                 ranges=len(keys.key_map.ranges),
                 reason="term-start",
             )
-            if self._leadership.key_maps_lost:
+            if self._leadership.only_copy_known:
                 self._assign_known_owners(name, keys)
                 continue
             for key_range in keys.key_map.ranges:
                 self._record_earlier_grant(key_range, name, unknown_grants_expiry)
-            if keys.key_map.ranges and not self._leadership.is_confirmed(name):
+            if keys.key_map.ranges and not self._leadership.store_has_key_map(name):
                 nursery.start_soon(self._rewrite_key_map, name, keys)
 
     def _assign_known_owners(self, service: str, keys: ServiceKeys) -> None:
@@ -447,7 +400,7 @@
     def _unknown_grants_expiry(self) -> float:
         """Return until when a target may hold keys by a grant that this term has no record of."""
         expiry = self._started_at + MAX_GRANT_LIFETIME_SECONDS
-        if self._leadership.key_maps_uncertain and not self._leadership.key_maps_lost:
+        if self._leadership.key_maps_uncertain and not self._leadership.only_copy_known:
             # A leader of before the restore does not notice that its lease was acquired.
             expiry += LEASE_SECONDS
         return expiry
--- a/radishshunt/gateway/leadership.py
+++ b/radishshunt/gateway/leadership.py
@@ -68,7 +68,8 @@
     :ivar stored_versions: Version of each row in the store at the start of the term, by key.
     :ivar key_maps_uncertain: Whether the store was restored after the known key maps were written,
         so that another leader may have written newer ones that are lost.
-    :ivar key_maps_lost: Whether, besides, this host knows no more than the restored store has.
+    :ivar only_copy_known: Whether they are uncertain and this host knows no more than the copy from
+        which the store was restored.
     """
 
     def __init__(
@@ -79,7 +80,7 @@
         self.acquired_ms = 0
         self.stored_versions: dict[str, int] = {}
         self.key_maps_uncertain = False
-        self.key_maps_lost = False
+        self.only_copy_known = False
         self._last_term = ""
         self._cfg = cfg
         self._view = view
@@ -89,7 +90,8 @@
         # Time at which the last successful acquisition or renewal was sent.
         self._renewed_at = float("-inf")
         self._version = 0
-        # Whether the leader's row has to be read again, since the store was restored.
+        # Whether the row of the leader has to be read again after a restore. Grants of this
+        # host's last term are then known to be the latest ones only within LEASE_SECONDS.
         self._store_restored = False
         # Whether the rows were read in this term, so that the view includes every earlier write.
         self._rows_read = False
@@ -269,7 +271,7 @@
                     self._store_restored = True
                 return False
             version = row.version
-        # Another host can lead only after the lease has expired, and not after a restore.
+        # Other hosts wait LEASE_SECONDS from a row that they saw after it was sent.
         led_last = bool(self._last_term) and self._view.leader.term == self._last_term
         undisturbed = self._view.clock.now() - self._renewed_at < LEASE_SECONDS
         self.resumed = led_last and (undisturbed or not self._store_restored)
@@ -307,7 +309,7 @@
         self._store_restored = True
         self._valid_until = float("-inf")
 
-    def is_confirmed(self, service: str) -> bool:
+    def store_has_key_map(self, service: str) -> bool:
         """Return whether the store has the known key map of a service since its last restore."""
         version = self._view.key_map_versions[service]
         return (
@@ -321,13 +323,13 @@
         unconfirmed = not self._key_maps_confirmed
         # An earlier term of this host may have ended before the uncertainty did.
         self.key_maps_uncertain = unconfirmed and (not self.resumed or self.key_maps_uncertain)
-        self.key_maps_lost = self.key_maps_uncertain and not self._knows_lost_rows
+        self.only_copy_known = self.key_maps_uncertain and not self._knows_lost_rows
         if unconfirmed:
             decision(
                 "key-maps-unconfirmed",
                 term=self.term,
                 uncertain=self.key_maps_uncertain,
-                lost=self.key_maps_lost,
+                lost=self.only_copy_known,
             )
 
     async def _renew(self, sent_at: float) -> None:
--- a/radishshunt/gateway/link_server.py
+++ b/radishshunt/gateway/link_server.py
@@ -210,7 +210,7 @@
             link = _Link(stream, hello)
             link.enqueue(self._first_frame(hello))
             if not self._links:
-                # Rows sent only to closed links must not serve as a base for differences on this
+                # Rows sent only to closed links must not serve as a base for deltas on this
                 # one.
                 self._delta_encoder, self._changes = DeltaEncoder(), []
             self._links.add(link)
