--- a/radishshunt/quarantine.py
+++ b/radishshunt/quarantine.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from radishshunt.errors import NotRun
+from radishshunt.logs import decision
 from radishshunt.suspect import Suspect
 
 if TYPE_CHECKING:
@@ -88,6 +89,12 @@
         Otherwise reads of a key that is always busy would be refused after two unrelated losses.
         """
         for entry in self._matching_entries(fingerprint, idempotency_key):
+            if entry.lost_incarnations:
+                decision(
+                    "suspect-cleared",
+                    fingerprint=f"{fingerprint:016x}",
+                    losses=len(entry.lost_incarnations),
+                )
             entry.cleared_incarnations |= entry.lost_incarnations
             entry.lost_incarnations.clear()
 
@@ -139,6 +146,12 @@
             : max(0, REFUSED_AFTER_LOSSES - len(entry.lost_incarnations))
         ]
         entry.lost_incarnations.update(added)
+        if added and len(entry.lost_incarnations) >= REFUSED_AFTER_LOSSES:
+            decision(
+                "quarantine",
+                fingerprint=f"{fingerprint:016x}",
+                losses=len(entry.lost_incarnations),
+            )
         entry.expires_at = max(entry.expires_at, expires_at)
         self._entries.move_to_end(entry_key)
 
