Report the requests that crash targets to the leader

Callers saw a request crash one target after the other at each host that it came to.

Hosts now report what they have seen themselves, and every host that others follow passes on what it learns, also while no host leads. Only changes are sent; if many change at once, requests that are refused already go first, so that the suspects of a lost domain don't push them out.

--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -21,6 +21,7 @@
 from radishshunt.gateway.load_statistics import ReportedLoadStatistics
 from radishshunt.gateway.rows import Topic
 from radishshunt.gateway.sender import Sender
+from radishshunt.gateway.suspect_exchange import SuspectExchange
 from radishshunt.gateway.view import View
 from radishshunt.http_server import HttpServer
 from radishshunt.logs import decision
@@ -29,11 +30,9 @@
 from radishshunt.supervisor import Supervisor
 
 if TYPE_CHECKING:
-    from radishshunt.gateway.messages import Report
     from radishshunt.gateway.protocol import TargetProtocol
     from radishshunt.gateway.rows import RowReader, RowStore
     from radishshunt.gateway.settings import HostSettings
-    from radishshunt.suspect import Suspect
 
 logger = logging.getLogger(__name__)
 
@@ -73,6 +72,7 @@
         self._wall_clock = SystemClock()
         self.quarantine = Quarantine()
         self.sender = Sender(cfg, self.view, protocol, self.quarantine, self._wall_clock)
+        self._suspects = SuspectExchange(self.quarantine, self._wall_clock)
         self.metrics = Metrics()
         self.caller_api = CallerApi(
             self.view, self.sender, protocol, BodyMemory(BODY_MEMORY_BYTES), self.metrics
@@ -82,9 +82,13 @@
         self.coordinator = Coordinator(
             cfg, self.view, self.leadership, protocol, self.load_statistics, self.view.clock
         )
-        self._link_client = LinkClient(cfg, self.view, self.sender.report, self._merge_suspects)
+        self._link_client = LinkClient(cfg, self.view, self.sender.report, self._suspects)
         self._link_server = LinkServer(
-            cfg, self.view, lambda: self.leadership.valid, self._record_report, self._suspects
+            cfg,
+            self.view,
+            lambda: self.leadership.valid,
+            self.load_statistics.add_report,
+            self._suspects,
         )
         self._caller_server = HttpServer(self.caller_api.app, cfg.callers_address, name="callers")
         self._readiness_server = HttpServer(
@@ -196,16 +200,6 @@
         for host, version in behind.items():
             decision("host-behind", behind=host, version=version, in_force=cfg.version)
 
-    def _suspects(self) -> tuple[Suspect, ...]:
-        return tuple(self.quarantine.suspects(self._wall_clock.now()))
-
-    def _merge_suspects(self, suspects: tuple[Suspect, ...]) -> None:
-        self.quarantine.merge(suspects, self._wall_clock.now())
-
-    def _record_report(self, report: Report) -> None:
-        self.load_statistics.add_report(report)
-        self._merge_suspects(report.suspects)
-
     async def _readiness_app(self, scope: Any, receive: Any, send: Any) -> None:
         """Respond to the platform's readiness check."""
         ready = scope["path"] == self._ready_path and self.view.complete and not self.stopping
--- a/radishshunt/gateway/link_client.py
+++ b/radishshunt/gateway/link_client.py
@@ -23,8 +23,8 @@
 
     from radishshunt.gateway.messages import Report
     from radishshunt.gateway.settings import HostSettings
+    from radishshunt.gateway.suspect_exchange import SuspectExchange
     from radishshunt.gateway.view import View
-    from radishshunt.suspect import Suspect
 
 logger = logging.getLogger(__name__)
 
@@ -46,7 +46,7 @@
     """This host's link to the host that sends it state updates.
 
     :param build_report: Returns the load since the last report.
-    :param on_suspects: Called with the suspects of each update.
+    :param suspects: Suspects that are exchanged with other hosts.
     :ivar backups: Addresses of the hosts that read the store while the leader is silent.
     :ivar hosts: Number of hosts connected to the leader, including the leader.
     """
@@ -56,14 +56,14 @@
         cfg: HostSettings,
         view: View,
         build_report: Callable[[], Report],
-        on_suspects: Callable[[tuple[Suspect, ...]], None],
+        suspects: SuspectExchange,
     ) -> None:
         self.backups: tuple[str, ...] = ()
         self.hosts = 0
         self._cfg = cfg
         self._view = view
         self._build_report = build_report
-        self._on_suspects = on_suspects
+        self._suspects = suspects
         self._own_address = f"{cfg.ip}:{cfg.peer_port}"
         self._seeds = [f"{ip}:{cfg.peer_port}" for ip in cfg.seed_ips if ip != cfg.ip]
         # Time up to which the updates received so far include all changes in the store.
@@ -183,7 +183,10 @@
         while True:
             cfg = self._view.cfg
             report = replace(
-                self._build_report(), hello=hello, configuration=cfg.version if cfg else 0
+                self._build_report(),
+                suspects=self._suspects.next_report(first=hello is not None),
+                hello=hello,
+                configuration=cfg.version if cfg else 0,
             )
             await stream.send_all(encode(report))
             hello = None
@@ -246,7 +249,7 @@
         self._apply_changes(update)
         self._view.set_moving(update.moving)
         self._view.overloaded = update.overloaded
-        self._on_suspects(update.suspects)
+        self._suspects.merge(update.suspects)
         self.hosts = update.hosts
         self.backups = update.backups
         if all(self._view.versions.values()):
--- a/radishshunt/gateway/link_server.py
+++ b/radishshunt/gateway/link_server.py
@@ -20,9 +20,10 @@
 from radishshunt.gateway.view import LEADER_KEY
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from radishshunt.gateway.settings import HostSettings
+    from radishshunt.gateway.suspect_exchange import SuspectExchange
     from radishshunt.gateway.view import View
     from radishshunt.suspect import Suspect
 
@@ -76,7 +77,7 @@
 
     :param is_leader: Returns whether this host leads.
     :param on_report: Called with each load report of a host while this host leads.
-    :param get_suspects: Returns the requests suspected of crashing targets.
+    :param suspects: Suspects that are exchanged with other hosts.
     :ivar backups: Addresses of the backup hosts that the leader has named last.
     :ivar host_versions: Configuration in force on the hosts that are linked to this one.
     :ivar known_hosts: Number of hosts that the leader has stated last, including the leader.
@@ -88,7 +89,7 @@
         view: View,
         is_leader: Callable[[], bool],
         on_report: Callable[[Report], None],
-        get_suspects: Callable[[], tuple[Suspect, ...]],
+        suspects: SuspectExchange,
     ) -> None:
         self.backups: tuple[str, ...] = ()
         self.host_versions = HostVersions(view.clock)
@@ -97,13 +98,14 @@
         self._view = view
         self._is_leader = is_leader
         self._on_report = on_report
-        self._get_suspects = get_suspects
+        self._suspects = suspects
         self._links: set[_Link] = set()
         self._changes: list[Change] = []
         self._delta_encoder = DeltaEncoder()
         self._wake = trio.Event()
-        # Time at which the cached frame with the full state was encoded, and the frame.
-        self._full_state_cache = (float("-inf"), b"")
+        # Time at which the cached frame with the full state was encoded, the number of changes of
+        # suspects until then, and the frame.
+        self._full_state_cache = (float("-inf"), 0, b"")
         view.listeners.append(self._queue_change)
 
     @property
@@ -126,11 +128,16 @@
             self._wake = trio.Event()
             changes, self._changes = self._changes, []
             if self._links:
-                frame = encode(self._build_update(self._delta_encoder.encode(changes)))
+                update = self._build_update(
+                    self._delta_encoder.encode(changes), self._suspects.next_update()
+                )
+                frame = encode(update)
                 for link in self._links:
                     link.enqueue(frame)
 
-    def _build_update(self, changes: tuple[Change, ...]) -> StateUpdate:
+    def _build_update(
+        self, changes: tuple[Change, ...], suspects: tuple[Suspect, ...]
+    ) -> StateUpdate:
         """Return an update with changes and the current state of this host."""
         leading = self._is_leader()
         if leading:
@@ -142,7 +149,7 @@
             changes=changes,
             moving=self._view.moving,
             overloaded=self._view.overloaded,
-            suspects=self._get_suspects(),
+            suspects=suspects,
             backups=self.backups,
         )
 
@@ -151,7 +158,7 @@
 
         :param change: ``None`` if key moves began or ended.
         """
-        self._full_state_cache = (float("-inf"), b"")
+        self._full_state_cache = (float("-inf"), 0, b"")
         if not self._links:
             return
         if change is not None:
@@ -164,13 +171,19 @@
         The full state is shared by hosts that connect at the same time.
         """
         if any(hello.versions.values()):
-            return encode(self._build_update(self._view.changes_since(hello.versions)))
-        built_at, frame = self._full_state_cache
-        if self._view.clock.now() - built_at > FULL_STATE_CACHE_SECONDS:
-            frame = encode(self._build_update(self._view.changes_since({})))
-            self._full_state_cache = (self._view.clock.now(), frame)
+            return self._encode_first_update(hello.versions)
+        built_at, suspect_changes, frame = self._full_state_cache
+        age = self._view.clock.now() - built_at
+        if age > FULL_STATE_CACHE_SECONDS or suspect_changes != self._suspects.changes:
+            frame = self._encode_first_update({})
+            self._full_state_cache = (self._view.clock.now(), self._suspects.changes, frame)
         return frame
 
+    def _encode_first_update(self, versions: Mapping[Topic, int]) -> bytes:
+        """Return the frame for a host that has all rows up to the given versions."""
+        changes = self._view.changes_since(versions)
+        return encode(self._build_update(changes, self._suspects.known()))
+
     def _hint_frame(self) -> bytes:
         """Return the frame that names the leader and the backups, for a host that looks for it."""
         row = self._view.rows[Topic.OWN].get(LEADER_KEY)
@@ -234,6 +247,9 @@
         msg: object = first_report
         was_leader = self._is_leader()
         while msg is not None:
+            if isinstance(msg, Report):
+                # Also while no host leads, as the request may come again at any host meanwhile.
+                self._suspects.merge(msg.suspects)
             if self._is_leader():
                 was_leader = True
                 if isinstance(msg, Report):
--- a/radishshunt/quarantine.py
+++ b/radishshunt/quarantine.py
@@ -11,7 +11,10 @@
 from radishshunt.suspect import Suspect
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
+
+    # Fingerprint and idempotency key.
+    SuspectKey = tuple[int, str]
 
 # A request is refused if this many targets were lost while they ran it.
 REFUSED_AFTER_LOSSES = 2
@@ -40,13 +43,17 @@
 
 
 class Quarantine:
-    """Counts the target losses of each request by fingerprint and by idempotency key."""
+    """Counts the target losses of each request by fingerprint and by idempotency key.
+
+    :ivar listeners: Called with the key of each suspect that has changed.
+    """
 
     def __init__(self, max_suspects: int = MAX_SUSPECTS) -> None:
+        self.listeners: list[Callable[[SuspectKey], None]] = []
         self._max_suspects = max_suspects
-        self._entries: OrderedDict[tuple[int, str], _SuspectEntry] = OrderedDict()
-        self._by_key: dict[str, set[tuple[int, str]]] = {}
-        self._by_fingerprint: dict[int, set[tuple[int, str]]] = {}
+        self._entries: OrderedDict[SuspectKey, _SuspectEntry] = OrderedDict()
+        self._by_key: dict[str, set[SuspectKey]] = {}
+        self._by_fingerprint: dict[int, set[SuspectKey]] = {}
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -101,12 +108,34 @@
     def suspects(self, now: float) -> list[Suspect]:
         """Return the most recent suspects, for heartbeats."""
         self._expire(now)
-        recent = list(self._entries.items())[-MAX_HEARTBEAT_SUSPECTS:]
-        return [
-            Suspect(fingerprint, sorted(entry.lost_incarnations), key, entry.expires_at)
-            for (fingerprint, key), entry in recent
-            if entry.lost_incarnations
-        ]
+        recent = list(self._entries)[-MAX_HEARTBEAT_SUSPECTS:]
+        return [suspect for suspect in self.describe(recent) if suspect.deaths]
+
+    def known_suspects(self, now: float, limit: int) -> tuple[Suspect, ...]:
+        """Return the most important suspects, up to a number."""
+        self._expire(now)
+        return self.describe(self.most_important(self._entries, limit))
+
+    def most_important(self, keys: Iterable[SuspectKey], limit: int) -> list[SuspectKey]:
+        """Return the keys of known suspects up to a number: quarantined ones first, then new ones.
+
+        When a failure domain is lost, all requests that ran there become suspects at once. They
+        must not hold up those that are known to be harmful.
+
+        :param keys: Keys of suspects, the most recent ones last.
+        """
+        known = [key for key in keys if key in self._entries]
+        known.sort(key=self._is_refused)
+        return known[-limit:]
+
+    def describe(self, keys: Iterable[SuspectKey]) -> tuple[Suspect, ...]:
+        """Return known suspects in the form in which hosts tell them to each other."""
+        suspects = []
+        for fingerprint, key in keys:
+            entry = self._entries[fingerprint, key]
+            deaths = sorted(entry.lost_incarnations)
+            suspects.append(Suspect(fingerprint, deaths, key, entry.expires_at))
+        return tuple(suspects)
 
     def merge(self, suspects: Iterable[Suspect], now: float) -> None:
         """Merge the suspects from a peer's heartbeat."""
@@ -121,6 +150,9 @@
                 )
         self._expire(now)
 
+    def _is_refused(self, key: SuspectKey) -> bool:
+        return len(self._entries[key].lost_incarnations) >= REFUSED_AFTER_LOSSES
+
     def _matching_entries(self, fingerprint: int, idempotency_key: str) -> list[_SuspectEntry]:
         entry_keys = set(self._by_fingerprint.get(fingerprint, ()))
         if idempotency_key:
@@ -154,6 +186,8 @@
             )
         entry.expires_at = max(entry.expires_at, expires_at)
         self._entries.move_to_end(entry_key)
+        for listener in self.listeners:
+            listener(entry_key)
 
     def _expire(self, now: float) -> None:
         while self._entries:
@@ -165,7 +199,7 @@
             _remove_from_index(self._by_key, entry_key[1], entry_key)
 
 
-def _remove_from_index(index: dict, index_key: int | str, entry_key: tuple[int, str]) -> None:
+def _remove_from_index(index: dict, index_key: int | str, entry_key: SuspectKey) -> None:
     entry_keys = index.get(index_key)
     if entry_keys is not None:
         entry_keys.discard(entry_key)
--- a/tests/test_gateway/test_gateway_links.py
+++ b/tests/test_gateway/test_gateway_links.py
@@ -10,7 +10,7 @@
 import trio
 import trio.testing
 
-from radishshunt.clock import TrioClock
+from radishshunt.clock import SystemClock, TrioClock
 from radishshunt.errors import ProtocolError
 from radishshunt.gateway.follower import POLL_PAUSE_SECONDS
 from radishshunt.gateway.frames import FrameReader
@@ -29,8 +29,10 @@
 from radishshunt.gateway.row_deltas import MIN_DELTA_ROW_BYTES
 from radishshunt.gateway.rows import Change, Row, Topic
 from radishshunt.gateway.settings import Bounds, HostSettings
+from radishshunt.gateway.suspect_exchange import SuspectExchange
 from radishshunt.gateway.view import LEADER_KEY, View
 from radishshunt.platform.catalog import CatalogReader
+from radishshunt.quarantine import Quarantine
 from tests.test_gateway.conftest import CONFIGURATION
 
 # Time within which operators require a new configuration to be in force on all hosts.
@@ -39,6 +41,10 @@
 SLOW_RESPONSE_SECONDS = 0.4
 
 
+def _no_suspects() -> SuspectExchange:
+    return SuspectExchange(Quarantine(), SystemClock())
+
+
 @pytest.fixture
 async def view() -> View:
     view = View(CatalogReader(), TrioClock())
@@ -51,7 +57,7 @@
 @pytest.fixture
 async def link(view: View) -> LinkClient:
     cfg = HostSettings("host-2", "127.0.0.2", "munich", "", "", 1, 0, "")
-    return LinkClient(cfg, view, lambda: None, lambda suspects: None)
+    return LinkClient(cfg, view, lambda: None, _no_suspects())
 
 
 async def receive_updates(link: LinkClient, seconds: float, store_responded_at: float) -> None:
@@ -114,9 +120,9 @@
     # Guards against a link that closes immediately because its host gets a difference to a row that
     # was only sent to the links of an earlier term.
     cfg = HostSettings("host-1", "127.0.0.1", "munich", "", "", 1, 0, "")
-    server = LinkServer(cfg, view, lambda: True, lambda report: None, tuple)
+    server = LinkServer(cfg, view, lambda: True, lambda report: None, _no_suspects())
     client_view = View(CatalogReader(), TrioClock())
-    client = LinkClient(cfg, client_view, lambda: None, lambda suspects: None)
+    client = LinkClient(cfg, client_view, lambda: None, _no_suspects())
 
     def write_row(version: int) -> None:
         value = encode_key_map(KeyMap((KeyRange(0, LAST_KEY, "t" * 2000, version, version),), 9))
@@ -170,11 +176,11 @@
     # Guards against hundreds of hosts that all read the store when they start at the same time.
     _apply_leader(view)
     cfg = HostSettings("host-1", "127.0.0.1", "munich", "", "", 1, 0, "")
-    server = LinkServer(cfg, view, lambda: False, lambda report: None, tuple)
+    server = LinkServer(cfg, view, lambda: False, lambda report: None, _no_suspects())
     server.backups = ("127.0.0.3:1",)
     hint = await _first_answer(server, Hello("127.0.0.2:1"))
     starting = View(CatalogReader(), TrioClock())
-    client = LinkClient(cfg, starting, lambda: None, lambda suspects: None)
+    client = LinkClient(cfg, starting, lambda: None, _no_suspects())
     client._apply_hint(hint)
     assert starting.leader.address == "127.0.0.9:1"
     assert client.backups == ("127.0.0.3:1",)
@@ -196,7 +202,7 @@
     leader_view = View(CatalogReader(), TrioClock())
     cfg = HostSettings("host-1", "127.0.0.1", "munich", "", "", 1, 0, "")
     leading = True
-    server = LinkServer(cfg, leader_view, lambda: leading, lambda report: None, tuple)
+    server = LinkServer(cfg, leader_view, lambda: leading, lambda report: None, _no_suspects())
     server_stream, client_stream = trio.testing.memory_stream_pair()
     server_stream.socket = client_stream.socket = SimpleNamespace(close=lambda: None)
     async with trio.open_nursery() as nursery:
@@ -262,7 +268,7 @@
 ) -> None:
     # Guards against every host reading the store while no host leads.
     cfg = HostSettings("host-1", "127.0.0.1", "munich", "", "", 1, 0, "")
-    server = LinkServer(cfg, view, lambda: False, lambda report: None, tuple)
+    server = LinkServer(cfg, view, lambda: False, lambda report: None, _no_suspects())
     view.cfg = SimpleNamespace(version=1)
     hello = Hello("127.0.0.2:1", follow=True)
     assert all(change.whole for change in (await _first_answer(server, hello)).changes)
