Recognise crashes of targets that do not reset the connection

Callers saw a request go on to further targets when the one that it crashed fell silent, was restarted or replaced at once, or when its caller had left before the end. Cause: only a broken connection led to a check, and one connection attempt of 0.3 s decided: a timeout counted as "not known" for good and any listener as "still running".

A check now belongs to a target's process and serves all requests that it left unanswered, given-up ones too. It asks until the process is known to run, to have ended or to be unreachable for 1 s, and compares the registration of what answers; a target that seemed to run is watched for a later incarnation. A response to a request that was sent later shows that the process runs, so that an overloaded target needs no connection for each lost request. A host that no target answers is taken for cut off. A read waits for the verdict before it is sent to another target.

--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 
 import trio
-from xxhash import xxh3_64_intdigest
 
 from radishshunt.errors import NotRun, OutcomeOfRequestUnknown
 from radishshunt.gateway.attempts import RequestAttempts
+from radishshunt.gateway.crash_checks import CrashChecker, LostRequest
 from radishshunt.gateway.exchange import ExchangeError
 from radishshunt.gateway.messages import Report, TargetWorkTime
 from radishshunt.gateway.model import RequestKind
@@ -23,13 +23,12 @@
 from radishshunt.policy.budgets import TokenBudget
 from radishshunt.policy.direct.silence import silence_deadline
 from radishshunt.quarantine import REFUSED_AFTER_LOSSES
-from radishshunt.util.streams import ConnectFailed, ConnectTimeout, connect
 
 if TYPE_CHECKING:
     from radishshunt.clock import Clock
     from radishshunt.gateway.attempts import TargetState
     from radishshunt.gateway.exchange import HttpResponse
-    from radishshunt.gateway.model import Route, Service, TargetEntry
+    from radishshunt.gateway.model import Route, Service
     from radishshunt.gateway.protocol import CallerRequest, TargetProtocol
     from radishshunt.gateway.settings import HostSettings
     from radishshunt.gateway.view import Target, View
@@ -37,12 +36,8 @@
 
 logger = logging.getLogger(__name__)
 
-# Maximum number of lost requests that wait for a check whether their target crashed.
-MAX_PENDING_CRASH_CHECKS = 256
 CLEANUP_INTERVAL_SECONDS = 2.0
 SILENCE_CHECK_SECONDS = 0.1
-# Timeout for connecting to a target to find out whether it still listens.
-CRASH_CHECK_TIMEOUT_SECONDS = 0.3
 # Share of the operators' retry budget that all hosts together use. The rest is a margin, since
 # each host counts its retries independently.
 RETRY_BUDGET_SHARE = 0.75
@@ -53,23 +48,19 @@
 RESPONSE_MARGIN_SECONDS = 0.035
 # An attempt that was given up after this multiple of the target's work time counts as a failure.
 SLOW_FACTOR = 3.0
+# Longest time for which a request waits for the check whether its target has crashed.
+MAX_CRASH_CHECK_WAIT_SECONDS = 0.3
 # Maximum number of times that one request is sent, including to targets that refuse it.
 MAX_SENDS = 4
 
 
-@dataclass(frozen=True, slots=True)
-class _LostRequest:
-    """A request that got no response, and the target that it was sent to."""
-
-    target: TargetEntry
-    fingerprint: int
-
-
 @dataclass(slots=True, eq=False)
 class _Attempt:
     """One attempt to send a request.
 
     :ivar number: Number of the attempt, from 1 on.
+    :ivar sent: Whether the target may have received the request.
+    :ivar crash_check: Set once it is known whether the target has ended.
     :ivar silent_at: Time from which the target counts as silent.
     :ivar silent: Whether the target is silent, so that the request is sent once more.
     """
@@ -82,6 +73,8 @@
     attempts: RequestAttempts
     number: int
     sent_at: float
+    sent: bool = False
+    crash_check: trio.Event = field(default_factory=trio.Event)
     silent_at: float = float("inf")
     silent: bool = False
 
@@ -90,6 +83,11 @@
         self.state.exchanges += 1
         self.state.load.on_sent()
 
+    def mark_sent(self) -> None:
+        """Record that the target may run the request from now on."""
+        self.sent = True
+        self.attempts.mark_sent()
+
     def mark_silent(self) -> None:
         """Record that the target is silent; it may still be at work on the request.
 
@@ -133,9 +131,7 @@
     ) -> None:
         self._quarantine = quarantine
         self._clock = clock
-        self._crash_check_queue, self._crash_checks = trio.open_memory_channel[_LostRequest](
-            MAX_PENDING_CRASH_CHECKS
-        )
+        self._crash_checker = CrashChecker(view, protocol, quarantine, clock)
         self.stopping = False
         self.request_counts: dict[str, dict[int, int]] = {}
         self._cfg = cfg
@@ -198,33 +194,13 @@
         error = f"no answer within {now - attempt.sent_at:.2f} s"
         self._log_attempt(attempt, 0, error)
         attempt.mark_silent()
+        self._check_for_crash(attempt, broken=False)
         attempt.attempts.retry_reserved = True
         attempt.attempts.repeats.start_another()
 
     async def confirm_crashes(self) -> None:
-        """Detect targets that crashed while running a request; run until cancelled."""
-        async with trio.open_nursery() as nursery:
-            async for loss in self._crash_checks:
-                nursery.start_soon(self._confirm_crash, loss)
-
-    async def _confirm_crash(self, loss: _LostRequest) -> None:
-        """Mark a request as a suspect if its target's process has ended.
-
-        A target that still accepts connections has lost only the response.
-        """
-        ip, _, port = loss.target.address.rpartition(":")
-        try:
-            stream = await connect(ip, int(port), CRASH_CHECK_TIMEOUT_SECONDS)
-        except ConnectTimeout:
-            logger.info(
-                "cannot tell whether target %s crashed: connecting to it timed out", loss.target.id
-            )
-        except ConnectFailed:
-            incarnation = xxh3_64_intdigest(f"{loss.target.id}/{loss.target.incarnation}".encode())
-            self._quarantine.record_loss(loss.fingerprint, "", incarnation, self._clock.now())
-            decision("crash", target=loss.target.id, fingerprint=f"{loss.fingerprint:016x}")
-        else:
-            stream.socket.close()
+        """Find out which requests were running on targets that ended; run until cancelled."""
+        await self._crash_checker.run()
 
     async def send(self, req: CallerRequest, route: Route, service: Service) -> HttpResponse:
         """Send a request to a target and return the response.
@@ -286,14 +262,21 @@
         except ExchangeError as exc:
             self._record_failure(attempt, connected=exc.sent)
             self._record_failed_attempt(attempt, exc)
+            # A request that crashes its target must not be sent to the next one before that is
+            # known.
+            with trio.move_on_after(MAX_CRASH_CHECK_WAIT_SECONDS):
+                await attempt.crash_check.wait()
             return None
         except trio.Cancelled:
             self._record_failure(attempt, connected=True)
             self._log_attempt(attempt, 0, "given up without an answer")
+            if attempt.sent and attempts.repeats.response is None:
+                self._check_for_crash(attempt, broken=False)
             raise
         finally:
             attempt.end()
         state.on_response()
+        self._crash_checker.on_answer(target.entry, attempt.sent_at)
         self._log_attempt(attempt, response.status)
         if self._protocol.is_not_run(response):
             attempts.may_have_run = bool(attempts.possible_runners)
@@ -322,7 +305,7 @@
             return await attempt.state.pool.exchange(
                 target_request,
                 repeatable=repeatable,
-                on_send=attempt.attempts.mark_sent,
+                on_send=attempt.mark_sent,
                 used=attempt.attempts.connections,
             )
         finally:
@@ -362,20 +345,25 @@
         route, target, attempts = attempt.route, attempt.target, attempt.attempts
         self._log_attempt(attempt, 0, str(exc))
         if not exc.sent:
+            attempt.crash_check.set()
             attempts.refused_by.add(target.entry.id)
             if len(attempts.refused_by) >= route.max_attempts + 1:
                 raise self.chooser.overload_error(attempts, "no-connection", attempt.state)
             return
         attempts.possible_runners.add(target.entry.id)
-        try:
-            self._crash_check_queue.send_nowait(_LostRequest(target.entry, attempts.fingerprint))
-        except trio.WouldBlock:
-            logger.warning("crash check queue is full; not checking target %s", target.entry.id)
+        attempt.crash_check = self._check_for_crash(attempt, broken=True)
         if route.kind is not RequestKind.IDEMPOTENT:
             raise OutcomeOfRequestUnknown("no-answer", str(exc), status=502)
         if attempts.sends >= route.max_attempts:
             raise OutcomeOfRequestUnknown("no-answer", str(exc), status=502)
 
+    def _check_for_crash(self, attempt: _Attempt, *, broken: bool) -> trio.Event:
+        """Find out whether the target of an attempt ended while it ran the request."""
+        lost = LostRequest(attempt.attempts.fingerprint, trio.current_time())
+        return self._crash_checker.check(
+            attempt.target.entry, attempt.service.health_path, lost, broken=broken
+        )
+
     def _record_refusal(
         self, response: HttpResponse, target: Target, state: TargetState, attempts: RequestAttempts
     ) -> None:
@@ -386,6 +374,8 @@
             have run it.
         """
         if self._protocol.is_wrong_target(response):
+            if self._protocol.identity(response) not in ("", target.entry.id):
+                self._crash_checker.on_other_process(target.entry)
             if attempts.sends >= MAX_SENDS:
                 raise self.chooser.overload_error(attempts, "no-owner", state)
             attempts.last_non_owner = (target.entry.id, target.entry.incarnation)
