Clear a suspect only by an answer that is no error

Callers saw a request go on crashing targets if failing targets answered it in between. Cause: any response that isn't "not run" cleared all losses so far, also a 500 of a target that fails whatever it gets. The product's own dispatcher had the same fault.

Only a status below 500 clears now. Both new tests failed before: 12 arrivals after the third crash (bound 3) on the platform, 6 crashes instead of 2 at the dispatcher.

--- a/radishshunt/dispatch/group.py
+++ b/radishshunt/dispatch/group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any
 
 import trio
@@ -321,7 +322,8 @@
             resp = await self._send_in_slot(
                 req, body, slice_number, request_fingerprint, serving, before_send
             )
-            self._quarantine.record_answer(request_fingerprint, req.idempotency_key)
+            if resp.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+                self._quarantine.record_answer(request_fingerprint, req.idempotency_key)
             return resp
         finally:
             lock.release()
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -5,6 +5,7 @@
 import logging
 from dataclasses import dataclass, field
 from functools import partial
+from http import HTTPStatus
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -282,7 +283,9 @@
             attempts.may_have_run = bool(attempts.possible_runners)
             self._record_refusal(response, target, state, attempts)
             return None
-        self._quarantine.record_answer(attempts.fingerprint, "")
+        if response.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            # A failing target answers with an error whether or not it has run the request.
+            self._quarantine.record_answer(attempts.fingerprint, "")
         return response
 
     async def _exchange(self, attempt: _Attempt, deadline: float) -> HttpResponse:
--- a/tests/test_dispatch/test_dispatch_group.py
+++ b/tests/test_dispatch/test_dispatch_group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from contextlib import suppress
 
 import pytest
 import trio
@@ -185,6 +186,28 @@
     assert await harness.send() == b"done"
 
 
+async def test_errors_of_failing_targets_do_not_clear_a_poison_request(
+    autojump_clock, harness: DispatcherHarness
+) -> None:
+    """Guards against crashes that count no more since another target failed in between."""
+    crashes = 0
+
+    async def crash_or_fail(target: MemoryTarget, exchange: Exchange) -> None:
+        nonlocal crashes
+        if len(harness.seen) % 2:
+            crashes += 1
+            await target.crash()
+        else:
+            await exchange.answer(b"", 500)
+
+    harness.set_behaviour(crash_or_fail)
+    for _ in range(6):
+        with suppress(RequestError):
+            await harness.send(path="/poison")
+        await trio.sleep(1.0)
+    assert crashes == 2
+
+
 @pytest.mark.parametrize("seed", range(10))
 async def test_harmless_requests_beside_a_poison_request_are_answered(
     autojump_clock, harness: DispatcherHarness, monkeypatch, seed: int
--- a/tests/test_gateway/test_gateway_crash_checks.py
+++ b/tests/test_gateway/test_gateway_crash_checks.py
@@ -39,6 +39,7 @@
 HARMLESS_PATH = "/reads/harmless"
 HEALTH_PATH = "/healthz"
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+ERROR = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
 # The same configuration, but any target may serve any request.
 WITHOUT_KEYS = {
     "Version": 8,
@@ -199,6 +200,14 @@
     await trio.sleep_forever()
 
 
+async def _end_at_every_second_arrival(fleet: _Fleet, target: _Target, stream: _Stream) -> None:
+    """End, or fail without running the request."""
+    if fleet.arrivals % 2:
+        await _end(fleet, target, stream)
+    else:
+        await stream.send_all(ERROR)
+
+
 async def _be_replaced(fleet: _Fleet, target: _Target, stream: _Stream) -> None:
     """End, and let another process listen at the address at once."""
     fleet.crashed += 1
@@ -234,7 +243,7 @@
 
 @pytest.mark.parametrize(
     "crash",
-    [_end, _fall_silent, _be_replaced, _restart],
+    [_end, _fall_silent, _end_at_every_second_arrival, _be_replaced, _restart],
     ids=lambda crash: crash.__name__.strip("_"),
 )
 async def test_request_that_crashes_targets_is_refused_however_they_end(
