Check the quarantine before each attempt of a request

Callers saw a read go on to all targets that it may be sent to although the first ones had ended, and requests that waited for a target be sent after all hosts had learned what they do. Cause: the quarantine was asked once, when a request arrived.

It is asked again once a target is chosen, and the refusal tells how long the request will be refused. Both new tests failed before: 4 targets ended under one read instead of 2, and 4 arrivals instead of none.

--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -211,11 +211,7 @@
         """
         self._count_request(service, req)
         attempts = RequestAttempts(fingerprint(service.name, req.method, req.path, "", req.body))
-        if (
-            self._quarantine.count_losses(attempts.fingerprint, "", self._clock.now())
-            >= REFUSED_AFTER_LOSSES
-        ):
-            raise NotRun("quarantined", "targets crashed while running this request")
+        self._check_quarantine(attempts)
         deadline = min(req.deadline, req.received_at + route.timeout_seconds)
         deadline = min(deadline - RESPONSE_MARGIN_SECONDS, self._last_deadline)
         attempts.repeats = Repeats(partial(self._attempt, req, route, service, attempts, deadline))
@@ -246,6 +242,8 @@
         :return: The response, or ``None`` if the request may be sent again.
         """
         target = await self.chooser.choose(req, route, service, attempts, deadline)
+        # Other hosts may have told of losses while the request waited for a target.
+        self._check_quarantine(attempts)
         state = self.chooser.state(target)
         if attempts.retry_reserved:
             attempts.retry_reserved = False
@@ -360,6 +358,21 @@
         if attempts.sends >= route.max_attempts:
             raise OutcomeOfRequestUnknown("no-answer", str(exc), status=502)
 
+    def _check_quarantine(self, attempts: RequestAttempts) -> None:
+        """Check whether a request may be sent to a target.
+
+        :raises NotRun: If it is quarantined.
+        :raises OutcomeOfRequestUnknown: If it is quarantined and a target may have run it.
+        """
+        now = self._clock.now()
+        if self._quarantine.count_losses(attempts.fingerprint, "", now) < REFUSED_AFTER_LOSSES:
+            return
+        raise attempts.error(
+            "quarantined",
+            "targets crashed while running this request",
+            self._quarantine.seconds_until_expiry(attempts.fingerprint, "", now),
+        )
+
     def _check_for_crash(self, attempt: _Attempt, *, broken: bool) -> trio.Event:
         """Find out whether the target of an attempt ended while it ran the request."""
         lost = LostRequest(attempt.attempts.fingerprint, trio.current_time())
--- a/radishshunt/quarantine.py
+++ b/radishshunt/quarantine.py
@@ -69,6 +69,11 @@
             set().union(*(entry.lost_incarnations for entry in entries if entry.expires_at > now))
         )
 
+    def seconds_until_expiry(self, fingerprint: int, idempotency_key: str, now: float) -> float:
+        """Return the seconds until the losses of a request count no more, 0 if there are none."""
+        entries = self._matching_entries(fingerprint, idempotency_key)
+        return max((entry.expires_at - now for entry in entries), default=0.0)
+
     def check(self, fingerprint: int, idempotency_key: str, now: float) -> None:
         """Check whether a request may be sent.
 
--- a/tests/test_gateway/test_gateway_crash_checks.py
+++ b/tests/test_gateway/test_gateway_crash_checks.py
@@ -18,6 +18,7 @@
 from radishshunt.gateway.protocol import CallerRequest
 from radishshunt.gateway.rows import Topic
 from radishshunt.gateway.sender import Sender
+from radishshunt.hashing import fingerprint
 from radishshunt.platform.target_protocol import HttpTargetProtocol
 from radishshunt.quarantine import Quarantine
 from radishshunt.util.streams import ConnectFailed, ConnectTimeout
@@ -37,14 +38,16 @@
 CHECK_SECONDS = 3.0
 CRASHING_PATH = "/reads/crashing"
 HARMLESS_PATH = "/reads/harmless"
+SLOW_PATH = "/reads/slow/"
 HEALTH_PATH = "/healthz"
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 ERROR = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
-# The same configuration, but any target may serve any request.
+# The same configuration, but any target may serve any request, up to four of them one after the
+# other.
 WITHOUT_KEYS = {
     "Version": 8,
     "Resources": [
-        resource | {"Spec": resource["Spec"] | {"IsSharded": False}}
+        resource | {"Spec": resource["Spec"] | {"IsSharded": False, "MaxAttempts": 4}}
         for resource in CONFIGURATION["Resources"]
     ],
 }
@@ -182,7 +185,7 @@
             self.arrivals_after_third_crash += self.crashed >= 3
             await self.crash(self, target, stream)
         else:
-            await trio.sleep(0.01)
+            await trio.sleep(0.3 if path.startswith(SLOW_PATH) else 0.01)
             await stream.send_all(OK)
 
 
@@ -259,6 +262,31 @@
     assert await fleet.send(HARMLESS_PATH) == 200
 
 
+async def test_read_is_not_sent_on_before_the_loss_of_its_target_is_counted(
+    autojump_clock: object, fleet: _Fleet
+) -> None:
+    """Guards against a read that crashes as many targets as it may be sent to, all at once."""
+    await fleet.send(CRASHING_PATH)
+    assert fleet.crashed == 2
+
+
+async def test_request_that_waits_for_a_target_is_refused_once_it_is_known_to_crash_targets(
+    autojump_clock: object, fleet: _Fleet
+) -> None:
+    """Guards against a request that was quarantined while it waited, and is sent all the same."""
+
+    async with trio.open_nursery() as nursery:
+        for number in range(4 * TARGETS):
+            nursery.start_soon(fleet.send, f"{SLOW_PATH}{number}")
+        await trio.sleep(0.01)
+        nursery.start_soon(fleet.send, CRASHING_PATH)
+        await trio.sleep(0.01)
+        request = fingerprint("register", "GET", CRASHING_PATH, "", b"")
+        for incarnation in (1, 2):
+            fleet.quarantine.record_loss(request, "", incarnation, SystemClock().now())
+    assert fleet.arrivals == 0
+
+
 async def test_request_that_was_given_up_is_counted_if_its_target_has_ended(
     autojump_clock: object, fleet: _Fleet
 ) -> None:
