Identify a suspect by what its caller sent

Callers could see the same request crash two more targets when a split or a new configuration led it to another service, and see requests for a path be refused because of another query. Cause: the fingerprint had the name of the chosen service in it, and the path without the query.

It now consists of what the caller sent: host, method, path with query, and body. Both new tests failed with the fingerprint of before.

--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -210,7 +210,7 @@
         :raises OutcomeOfRequestUnknown: If a target may have run the request.
         """
         self._count_request(service, req)
-        attempts = RequestAttempts(fingerprint(service.name, req.method, req.path, "", req.body))
+        attempts = RequestAttempts(request_fingerprint(req))
         self._check_quarantine(attempts)
         deadline = min(req.deadline, req.received_at + route.timeout_seconds)
         deadline = min(deadline - RESPONSE_MARGIN_SECONDS, self._last_deadline)
@@ -447,3 +447,12 @@
             status=status,
             error=error,
         )
+
+
+def request_fingerprint(req: CallerRequest) -> int:
+    """Return a fingerprint of a request as its caller sent it.
+
+    The service is no part of it, since a request may go to another one after a change of the
+    configuration or by a split.
+    """
+    return fingerprint(req.host, req.method, req.target.decode("latin-1"), "", req.body)
--- a/tests/test_gateway/test_gateway_crash_checks.py
+++ b/tests/test_gateway/test_gateway_crash_checks.py
@@ -17,8 +17,7 @@
 from radishshunt.gateway import crash_checks, target_pool
 from radishshunt.gateway.protocol import CallerRequest
 from radishshunt.gateway.rows import Topic
-from radishshunt.gateway.sender import Sender
-from radishshunt.hashing import fingerprint
+from radishshunt.gateway.sender import Sender, request_fingerprint
 from radishshunt.platform.target_protocol import HttpTargetProtocol
 from radishshunt.quarantine import Quarantine
 from radishshunt.util.streams import ConnectFailed, ConnectTimeout
@@ -51,6 +50,8 @@
         for resource in CONFIGURATION["Resources"]
     ],
 }
+# Half of the targets belong to the second service.
+WITHOUT_KEYS["Resources"].append(WITHOUT_KEYS["Resources"][-1] | {"Meta": {"Name": "archive"}})
 
 
 class _Stream:
@@ -98,6 +99,7 @@
     """Targets, and a host's sender that sends to them.
 
     :ivar crash: Handles the request that crashes targets.
+    :ivar service: Service that requests are sent to.
     :ivar arrivals: Number of arrivals of that request.
     :ivar crashed: Number of targets that it has crashed.
     :ivar arrivals_after_third_crash: Number of arrivals after the third crash.
@@ -106,6 +108,7 @@
     def __init__(self, cfg: HostSettings, view: View, nursery: trio.Nursery) -> None:
         self.crash: Callable[[_Fleet, _Target, _Stream], Awaitable[None]] = _end
         self.arrivals = self.crashed = self.arrivals_after_third_crash = 0
+        self.service = "register"
         self.targets = [_Target(number) for number in range(TARGETS)]
         self.view = view
         self.quarantine = Quarantine()
@@ -121,6 +124,8 @@
     def register(self, target: _Target, born: int, version: int) -> None:
         """Write the entry of a target's process."""
         value = entry_value(f"127.0.0.{target.number + 1}:9", born)
+        if target.number >= TARGETS // 2:
+            value = value.replace(b'"register"', b'"archive"')
         apply_row(self.view, Topic.TARGETS, target.id, value, version)
 
     async def connect(self, ip: str, port: int, timeout_seconds: float) -> _Stream:
@@ -136,19 +141,32 @@
         self._nursery.start_soon(self._serve, target, _Stream(server))
         return _Stream(client)
 
-    async def send(self, path: str, seconds: float = 1.0) -> int:
-        """Send a read, and return its status, or that of the error."""
+    def request(self, path: str, seconds: float) -> CallerRequest:
+        """Return a read, with or without a query."""
         now = trio.current_time()
         headers = [(b"host", b"a.example")]
-        req = CallerRequest(
-            "GET", "a.example", path, path.encode(), headers, "", None, now, now + seconds
+        target = path.encode()
+        return CallerRequest(
+            "GET",
+            "a.example",
+            path.partition("?")[0],
+            target,
+            headers,
+            "",
+            None,
+            now,
+            now + seconds,
         )
+
+    async def send(self, path: str, seconds: float = 1.0) -> int:
+        """Send a read, and return its status, or that of the error."""
+        req = self.request(path, seconds)
         cfg = self.view.cfg
         assert cfg is not None
         route = self.view.find_route(req.host, req.path)
         assert route is not None
         try:
-            return (await self.sender.send(req, route, cfg.services["register"])).status
+            return (await self.sender.send(req, route, cfg.services[self.service])).status
         except RequestError as exc:
             return exc.status
 
@@ -180,7 +198,7 @@
             await stream.send_all(
                 OK.replace(b"\r\n\r\n", b"\r\nX-Radishshunt-Instance-Id: " + name + b"\r\n\r\n")
             )
-        elif path == CRASHING_PATH:
+        elif path.startswith(CRASHING_PATH):
             self.arrivals += 1
             self.arrivals_after_third_crash += self.crashed >= 3
             await self.crash(self, target, stream)
@@ -281,12 +299,37 @@
         await trio.sleep(0.01)
         nursery.start_soon(fleet.send, CRASHING_PATH)
         await trio.sleep(0.01)
-        request = fingerprint("register", "GET", CRASHING_PATH, "", b"")
+        request = request_fingerprint(fleet.request(CRASHING_PATH, 1.0))
         for incarnation in (1, 2):
             fleet.quarantine.record_loss(request, "", incarnation, SystemClock().now())
     assert fleet.arrivals == 0
 
 
+async def test_request_that_goes_to_another_service_is_the_same_request(
+    autojump_clock: object, fleet: _Fleet
+) -> None:
+    """Guards against two more crashes for each service that a split or a new route leads to."""
+    await fleet.send(CRASHING_PATH)
+    fleet.service = "archive"
+    await fleet.send(CRASHING_PATH)
+    assert fleet.crashed == 2
+
+
+async def test_request_with_another_query_is_another_request(
+    autojump_clock: object, fleet: _Fleet
+) -> None:
+    """Guards against refusing all requests for a path because of one that crashes targets."""
+    await fleet.send(f"{CRASHING_PATH}?id=1")
+    assert fleet.crashed == 2
+    assert await fleet.send(f"{HARMLESS_PATH}?id=1") == 200
+
+    async def answer(fleet: _Fleet, target: _Target, stream: _Stream) -> None:
+        await stream.send_all(OK)
+
+    fleet.crash = answer
+    assert await fleet.send(f"{CRASHING_PATH}?id=2") == 200
+
+
 async def test_request_that_was_given_up_is_counted_if_its_target_has_ended(
     autojump_clock: object, fleet: _Fleet
 ) -> None:
