Clear an answered suspect on all hosts

Callers could see a harmless request be refused by some hosts and served by others. Cause: a host that had an answer cleared the losses for itself; the others kept them for 10 min, so that the next unrelated loss made two.

Hosts tell each other which losses are cleared, beside those that count; both are sets that only grow until the suspect expires, so that the order of messages doesn't matter. The test failed before (2 losses on the other hosts, expected 1).

--- a/radishshunt/gateway/gateway.capnp
+++ b/radishshunt/gateway/gateway.capnp
@@ -63,6 +63,10 @@
   fingerprint @0 :UInt64;
   deaths @1 :List(UInt64);
   expiresAt @2 :Float64;
+  # Losses of attempts that were sent before any other loss was known.
+  concurrent @3 :List(UInt64);
+  # Losses that the request did not cause.
+  cleared @4 :List(UInt64);
 }
 
 # Load report from a host to the leader.
--- a/radishshunt/gateway/messages.py
+++ b/radishshunt/gateway/messages.py
@@ -197,13 +197,29 @@
 
 def _suspect_fields(suspects: tuple[Suspect, ...]) -> list[dict]:
     return [
-        {"fingerprint": item.fingerprint, "deaths": item.deaths, "expiresAt": item.expires_at}
+        {
+            "fingerprint": item.fingerprint,
+            "deaths": item.deaths,
+            "expiresAt": item.expires_at,
+            "concurrent": item.concurrent,
+            "cleared": item.cleared,
+        }
         for item in suspects
     ]
 
 
 def _decode_suspects(items: Iterable[capnp.lib.capnp._DynamicStructReader]) -> tuple[Suspect, ...]:
-    return tuple(Suspect(item.fingerprint, list(item.deaths), "", item.expiresAt) for item in items)
+    return tuple(
+        Suspect(
+            item.fingerprint,
+            list(item.deaths),
+            "",
+            item.expiresAt,
+            list(item.concurrent),
+            list(item.cleared),
+        )
+        for item in items
+    )
 
 
 def _decode_update(news: capnp.lib.capnp._DynamicStructReader) -> StateUpdate:
--- a/radishshunt/quarantine.py
+++ b/radishshunt/quarantine.py
@@ -25,6 +25,9 @@
 # Limit of suspects in one heartbeat, which takes the most recent ones; at most about 6 KiB.
 MAX_HEARTBEAT_SUSPECTS = 64
 MAX_KEY_LENGTH = 256
+# Limits of the losses that are kept of one suspect, counted and cleared ones.
+MAX_LOSSES = 4
+MAX_CLEARED_LOSSES = 16
 
 
 @dataclass(slots=True)
@@ -32,15 +35,53 @@
     """Target losses of one suspect.
 
     :ivar lost_incarnations: Incarnations of the lost targets; a set, so that merging is a union.
+    :ivar concurrent_incarnations: Those among them that were lost by attempts which were sent
+        before any other loss was known.
     :ivar cleared_incarnations: Incarnations whose loss the request did not cause, because a target
-        answered the request later.
+        answered the request later; an ordered set.
     :ivar expires_at: Seconds since the Unix epoch.
     """
 
     lost_incarnations: set[int] = field(default_factory=set)
-    cleared_incarnations: set[int] = field(default_factory=set)
+    concurrent_incarnations: set[int] = field(default_factory=set)
+    cleared_incarnations: dict[int, None] = field(default_factory=dict)
     expires_at: float = 0.0
 
+    @property
+    def refused(self) -> bool:
+        """Whether the request is refused.
+
+        Losses of attempts that ran at the same time count as one. A failure domain that is lost
+        takes all targets with it that are running copies of a popular request.
+        """
+        lost = self.lost_incarnations
+        return len(lost) >= REFUSED_AFTER_LOSSES and not lost <= self.concurrent_incarnations
+
+    def add_losses(self, incarnations: set[int], concurrent: set[int]) -> bool:
+        """Add losses unless they are cleared, and return whether anything changed."""
+        before = (set(self.lost_incarnations), set(self.concurrent_incarnations))
+        for incarnation in sorted(incarnations - self.cleared_incarnations.keys()):
+            if incarnation not in concurrent:
+                self.concurrent_incarnations.discard(incarnation)
+                if len(self.lost_incarnations) >= MAX_LOSSES and self.concurrent_incarnations:
+                    self.lost_incarnations.discard(self.concurrent_incarnations.pop())
+            elif incarnation not in self.lost_incarnations:
+                self.concurrent_incarnations.add(incarnation)
+            if len(self.lost_incarnations) < MAX_LOSSES:
+                self.lost_incarnations.add(incarnation)
+        self.concurrent_incarnations &= self.lost_incarnations
+        return before != (self.lost_incarnations, self.concurrent_incarnations)
+
+    def clear(self, incarnations: Iterable[int]) -> bool:
+        """Clear losses, and return whether anything changed."""
+        added = [item for item in incarnations if item not in self.cleared_incarnations]
+        self.cleared_incarnations.update(dict.fromkeys(added))
+        self.lost_incarnations -= self.cleared_incarnations.keys()
+        self.concurrent_incarnations &= self.lost_incarnations
+        while len(self.cleared_incarnations) > MAX_CLEARED_LOSSES:
+            del self.cleared_incarnations[next(iter(self.cleared_incarnations))]
+        return bool(added)
+
 
 class Quarantine:
     """Counts the target losses of each request by fingerprint and by idempotency key.
@@ -58,6 +99,19 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    def is_quarantined(self, fingerprint: int, idempotency_key: str, now: float) -> bool:
+        """Return whether a request is refused because of the targets lost under it."""
+        if self.count_losses(fingerprint, idempotency_key, now) < REFUSED_AFTER_LOSSES:
+            return False
+        entries = self._matching_entries(fingerprint, idempotency_key)
+        # Losses of entries that only share the idempotency key belong to attempts one by one.
+        return len(entries) > 1 or entries[0].refused
+
+    def known_losses(self, fingerprint: int, idempotency_key: str) -> frozenset[int]:
+        """Return the incarnations of the targets that were lost while they ran a request."""
+        entries = self._matching_entries(fingerprint, idempotency_key)
+        return frozenset().union(*(entry.lost_incarnations for entry in entries))
+
     def count_losses(self, fingerprint: int, idempotency_key: str, now: float) -> int:
         """Return how many targets were lost while they ran a request.
 
@@ -79,19 +133,29 @@
 
         :raises NotRun: If the request is quarantined.
         """
-        if self.count_losses(fingerprint, idempotency_key, now) >= REFUSED_AFTER_LOSSES:
+        if self.is_quarantined(fingerprint, idempotency_key, now):
             raise NotRun("quarantined", "targets were lost while they ran this request", status=422)
 
     def record_loss(
-        self, fingerprint: int, idempotency_key: str, incarnation: int, now: float
+        self,
+        fingerprint: int,
+        idempotency_key: str,
+        incarnation: int,
+        now: float,
+        known: frozenset[int] | None = None,
     ) -> None:
         """Record that a target was lost while it ran a request.
 
         :param incarnation: Incarnation of the target that ended.
+        :param known: Losses of the request that were known when it was sent; ``None`` if attempts
+            never run at the same time.
         """
-        self._add_losses(
-            fingerprint, idempotency_key, {incarnation}, now + SUSPECT_RETENTION_SECONDS
-        )
+        lost = {incarnation}
+        concurrent = set()
+        if known is not None and not known & self.known_losses(fingerprint, idempotency_key):
+            concurrent = lost
+        expires_at = now + SUSPECT_RETENTION_SECONDS
+        self._add_losses(fingerprint, idempotency_key, lost, expires_at, concurrent)
         self._expire(now)
 
     def record_answer(self, fingerprint: int, idempotency_key: str) -> None:
@@ -100,15 +164,12 @@
         A request that crashes targets is never answered, so these losses had other causes.
         Otherwise reads of a key that is always busy would be refused after two unrelated losses.
         """
-        for entry in self._matching_entries(fingerprint, idempotency_key):
-            if entry.lost_incarnations:
-                decision(
-                    "suspect-cleared",
-                    fingerprint=f"{fingerprint:016x}",
-                    losses=len(entry.lost_incarnations),
-                )
-            entry.cleared_incarnations |= entry.lost_incarnations
-            entry.lost_incarnations.clear()
+        for entry_key in self._matching_keys(fingerprint, idempotency_key):
+            entry = self._entries[entry_key]
+            losses = len(entry.lost_incarnations)
+            if entry.clear(set(entry.lost_incarnations)):
+                decision("suspect-cleared", fingerprint=f"{fingerprint:016x}", losses=losses)
+                self._notify(entry_key)
 
     def suspects(self, now: float) -> list[Suspect]:
         """Return the most recent suspects, for heartbeats."""
@@ -138,59 +199,75 @@
         suspects = []
         for fingerprint, key in keys:
             entry = self._entries[fingerprint, key]
-            deaths = sorted(entry.lost_incarnations)
-            suspects.append(Suspect(fingerprint, deaths, key, entry.expires_at))
+            suspects.append(
+                Suspect(
+                    fingerprint,
+                    sorted(entry.lost_incarnations),
+                    key,
+                    entry.expires_at,
+                    sorted(entry.concurrent_incarnations),
+                    list(entry.cleared_incarnations),
+                )
+            )
         return tuple(suspects)
 
     def merge(self, suspects: Iterable[Suspect], now: float) -> None:
         """Merge the suspects from a peer's heartbeat."""
         latest = now + SUSPECT_RETENTION_SECONDS
         for suspect in suspects:
-            if suspect.expires_at > now and suspect.deaths:
+            if suspect.expires_at > now and (suspect.deaths or suspect.cleared):
                 self._add_losses(
                     suspect.fingerprint,
                     suspect.idempotency_key,
-                    set(suspect.deaths[:REFUSED_AFTER_LOSSES]),
+                    set(suspect.deaths[:MAX_LOSSES]),
                     min(suspect.expires_at, latest),
+                    set(suspect.concurrent),
+                    suspect.cleared[:MAX_CLEARED_LOSSES],
                 )
         self._expire(now)
 
     def _is_refused(self, key: SuspectKey) -> bool:
-        return len(self._entries[key].lost_incarnations) >= REFUSED_AFTER_LOSSES
+        return self._entries[key].refused
 
-    def _matching_entries(self, fingerprint: int, idempotency_key: str) -> list[_SuspectEntry]:
+    def _matching_keys(self, fingerprint: int, idempotency_key: str) -> set[SuspectKey]:
         entry_keys = set(self._by_fingerprint.get(fingerprint, ()))
         if idempotency_key:
             entry_keys |= self._by_key.get(idempotency_key[:MAX_KEY_LENGTH], set())
+        return entry_keys
+
+    def _matching_entries(self, fingerprint: int, idempotency_key: str) -> list[_SuspectEntry]:
+        entry_keys = self._matching_keys(fingerprint, idempotency_key)
         return [self._entries[entry_key] for entry_key in entry_keys]
 
     def _add_losses(
-        self, fingerprint: int, key: str, incarnations: set[int], expires_at: float
+        self,
+        fingerprint: int,
+        key: str,
+        incarnations: set[int],
+        expires_at: float,
+        concurrent: set[int],
+        cleared: Iterable[int] = (),
     ) -> None:
         entry_key = (fingerprint, key[:MAX_KEY_LENGTH])
         entry = self._entries.get(entry_key)
-        if entry is not None:
-            incarnations = incarnations - entry.cleared_incarnations
         if entry is None:
             entry = self._entries[entry_key] = _SuspectEntry()
             self._by_fingerprint.setdefault(fingerprint, set()).add(entry_key)
             if key:
                 self._by_key.setdefault(entry_key[1], set()).add(entry_key)
-        elif incarnations <= entry.lost_incarnations and expires_at <= entry.expires_at:
+        refused = entry.refused
+        changed = entry.clear(cleared)
+        changed = entry.add_losses(incarnations, concurrent) or changed
+        if not changed and expires_at <= entry.expires_at:
             return
-        # Losses beyond the number that leads to a refusal are not stored.
-        added = sorted(incarnations - entry.lost_incarnations)[
-            : max(0, REFUSED_AFTER_LOSSES - len(entry.lost_incarnations))
-        ]
-        entry.lost_incarnations.update(added)
-        if added and len(entry.lost_incarnations) >= REFUSED_AFTER_LOSSES:
-            decision(
-                "quarantine",
-                fingerprint=f"{fingerprint:016x}",
-                losses=len(entry.lost_incarnations),
-            )
+        if entry.refused and not refused:
+            losses = len(entry.lost_incarnations)
+            decision("quarantine", fingerprint=f"{fingerprint:016x}", losses=losses)
         entry.expires_at = max(entry.expires_at, expires_at)
         self._entries.move_to_end(entry_key)
+        self._notify(entry_key)
+
+    def _notify(self, entry_key: SuspectKey) -> None:
         for listener in self.listeners:
             listener(entry_key)
 
--- a/tests/test_gateway/test_gateway_suspect_exchange.py
+++ b/tests/test_gateway/test_gateway_suspect_exchange.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import trio
 
 from radishshunt.clock import SystemClock, TrioClock
@@ -13,6 +15,9 @@
 from radishshunt.platform.catalog import CatalogReader
 from radishshunt.quarantine import Quarantine
 
+if TYPE_CHECKING:
+    from radishshunt.suspect import Suspect
+
 
 def _exchange() -> tuple[Quarantine, SuspectExchange]:
     quarantine = Quarantine()
@@ -64,6 +69,31 @@
     assert quarantine.count_losses(1, "", _now()) == 1
 
 
+def test_answer_at_one_host_clears_a_suspect_at_all_hosts() -> None:
+    """Guards against hosts that refuse a harmless request which others serve."""
+    hosts = [_exchange() for _ in range(3)]
+    leader_quarantine, leader = hosts[0]
+    hosts[1][0].record_loss(1, "", 101, _now())
+    for answered in (False, True):
+        if answered:
+            hosts[2][0].record_answer(1, "")
+        for _, follower in hosts[1:]:
+            leader.merge(_sent(follower.next_report(first=False)))
+        update = _sent(leader.next_update())
+        for _, follower in hosts[1:]:
+            follower.merge(update)
+    for quarantine, _ in hosts:
+        quarantine.record_loss(1, "", 102, _now())
+        assert quarantine.count_losses(1, "", _now()) == 1
+
+
+def _sent(suspects: tuple[Suspect, ...]) -> tuple[Suspect, ...]:
+    """Return suspects as another host receives them."""
+    report = decode(encode(Report("host", {}, suspects=suspects))[4:])
+    assert isinstance(report, Report)
+    return report.suspects
+
+
 async def test_host_that_does_not_lead_learns_from_the_reports_of_its_followers(
     autojump_clock: object,
 ) -> None:
