Count losses of copies that ran at the same time as one

Callers would see a popular read be refused for 10 min when a failure domain was lost while copies of it ran on two of its targets and none elsewhere: with two losses it was quarantined, and then nobody could answer it any more.

A loss now counts beyond the first one only if an earlier loss of the request was known, and not cleared, when the attempt was sent. A request that crashes targets is sent again after each crash, so it is still refused after its second one.

--- a/radishshunt/gateway/crash_checks.py
+++ b/radishshunt/gateway/crash_checks.py
@@ -64,10 +64,12 @@
 class LostRequest:
     """A request that got no response from a target.
 
+    :param known_losses: Losses of the request that were known when it was sent.
     :param lost_at: Time on trio's clock.
     """
 
     fingerprint: int
+    known_losses: frozenset[int]
     lost_at: float
 
 
@@ -273,7 +275,9 @@
                 fingerprint=f"{request.fingerprint:016x}",
                 evidence=fate.value,
             )
-            self._quarantine.record_loss(request.fingerprint, "", incarnation, self._clock.now())
+            self._quarantine.record_loss(
+                request.fingerprint, "", incarnation, self._clock.now(), request.known_losses
+            )
 
 
 def _process(entry: TargetEntry) -> tuple[str, int]:
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -23,7 +23,6 @@
 from radishshunt.logs import decision
 from radishshunt.policy.budgets import TokenBudget
 from radishshunt.policy.direct.silence import silence_deadline
-from radishshunt.quarantine import REFUSED_AFTER_LOSSES
 
 if TYPE_CHECKING:
     from radishshunt.clock import Clock
@@ -60,6 +59,7 @@
     """One attempt to send a request.
 
     :ivar number: Number of the attempt, from 1 on.
+    :ivar known_losses: Targets that are known to have been lost while they ran the request.
     :ivar sent: Whether the target may have received the request.
     :ivar crash_check: Set once it is known whether the target has ended.
     :ivar silent_at: Time from which the target counts as silent.
@@ -74,6 +74,7 @@
     attempts: RequestAttempts
     number: int
     sent_at: float
+    known_losses: frozenset[int]
     sent: bool = False
     crash_check: trio.Event = field(default_factory=trio.Event)
     silent_at: float = float("inf")
@@ -251,7 +252,15 @@
             raise self.chooser.overload_error(attempts, "retry-budget", state)
         attempts.sends += 1
         attempt = _Attempt(
-            req, route, service, target, state, attempts, attempts.sends, trio.current_time()
+            req,
+            route,
+            service,
+            target,
+            state,
+            attempts,
+            attempts.sends,
+            trio.current_time(),
+            self._quarantine.known_losses(attempts.fingerprint, ""),
         )
         attempt.begin()
         try:
@@ -365,7 +374,7 @@
         :raises OutcomeOfRequestUnknown: If it is quarantined and a target may have run it.
         """
         now = self._clock.now()
-        if self._quarantine.count_losses(attempts.fingerprint, "", now) < REFUSED_AFTER_LOSSES:
+        if not self._quarantine.is_quarantined(attempts.fingerprint, "", now):
             return
         raise attempts.error(
             "quarantined",
@@ -375,7 +384,7 @@
 
     def _check_for_crash(self, attempt: _Attempt, *, broken: bool) -> trio.Event:
         """Find out whether the target of an attempt ended while it ran the request."""
-        lost = LostRequest(attempt.attempts.fingerprint, trio.current_time())
+        lost = LostRequest(attempt.attempts.fingerprint, attempt.known_losses, trio.current_time())
         return self._crash_checker.check(
             attempt.target.entry, attempt.service.health_path, lost, broken=broken
         )
--- a/tests/test_quarantine/test_quarantine_counts.py
+++ b/tests/test_quarantine/test_quarantine_counts.py
@@ -103,3 +103,37 @@
     quarantine.record_loss(7, "", 3, NOW)
     with pytest.raises(NotRun):
         quarantine.check(7, "", NOW)
+
+
+def test_losses_of_copies_that_ran_at_the_same_time_count_as_one() -> None:
+    """Guards against refusing a popular request that ran on all targets of a lost domain."""
+    quarantine, peer = Quarantine(), Quarantine()
+    for incarnation in (1, 2, 3):
+        quarantine.record_loss(7, "", incarnation, NOW, known=frozenset())
+    peer.merge(quarantine.suspects(NOW), NOW)
+    for one in (quarantine, peer):
+        one.check(7, "", NOW)
+        one.record_loss(7, "", 4, NOW, known=one.known_losses(7, ""))
+        with pytest.raises(NotRun):
+            one.check(7, "", NOW)
+
+
+def test_loss_after_one_that_was_cleared_meanwhile_is_the_first_one() -> None:
+    """Guards against counting a loss twice as serious because of one with another cause."""
+    quarantine = Quarantine()
+    quarantine.record_loss(7, "", 1, NOW, known=frozenset())
+    known = quarantine.known_losses(7, "")
+    quarantine.record_answer(7, "")
+    quarantine.record_loss(7, "", 2, NOW, known=known)
+    quarantine.record_loss(7, "", 3, NOW, known=known)
+    quarantine.check(7, "", NOW)
+
+
+def test_loss_is_counted_although_many_copies_ran_at_the_same_time() -> None:
+    """Guards against a limit of stored losses that hides the one that matters."""
+    quarantine = Quarantine()
+    for incarnation in range(20):
+        quarantine.record_loss(7, "", incarnation, NOW, known=frozenset())
+    quarantine.record_loss(7, "", 99, NOW, known=quarantine.known_losses(7, ""))
+    with pytest.raises(NotRun):
+        quarantine.check(7, "", NOW)
