Keep to the limit of requests that a target names

Targets in need got several times the requests that they had said they take. Cause: no host read Server-Limit.

Each host that gets a response with a limit now keeps to its part of it: a few requests in any 4 s, so many that the sum over all hosts stays below what operators allow without any message between hosts, and its part of the limit in the long run. First attempts, retries and second attempts draw on the same part; urgent requests go first; what exceeds it is refused at once with the time until the next request, and requests without a key go to targets with room. A limit ends when a response to work names none, and with the process that named it; a malformed one changes nothing; with 0 a target gets a request every 10 s, which shows when that ends.

--- a/radishshunt/gateway/attempts.py
+++ b/radishshunt/gateway/attempts.py
@@ -9,6 +9,7 @@
 from radishshunt.policy.direct.cold_rate import ColdRateLimiter
 from radishshunt.policy.direct.lane import Lane
 from radishshunt.policy.direct.overload import OverloadGate
+from radishshunt.policy.direct.request_limit import RequestLimiter
 
 if TYPE_CHECKING:
     from radishshunt.gateway.exchange import Connection
@@ -41,6 +42,7 @@
     queue: Lane = field(default_factory=Lane)
     cold_rate_limiter: ColdRateLimiter = field(default_factory=ColdRateLimiter)
     overload_gate: OverloadGate = field(default_factory=OverloadGate)
+    request_limiter: RequestLimiter = field(default_factory=RequestLimiter)
     exchanges: int = 0
     failures: int = 0
     avoid_until: float = float("-inf")
--- a/radishshunt/gateway/protocol.py
+++ b/radishshunt/gateway/protocol.py
@@ -76,6 +76,14 @@
     def load_report(self, response: HttpResponse) -> LoadReport | None:
         """Return the load report in a response, or ``None`` if there is none."""
 
+    @abstractmethod
+    def request_limit(self, response: HttpResponse) -> float | None:
+        """Return the requests per second that the target takes from all hosts together.
+
+        :return: Infinity if the response names no limit, ``None`` if it names one that is no
+            number.
+        """
+
     @abstractmethod
     def is_not_run(self, response: HttpResponse) -> bool:
         """Return whether a response states that the target did not run the request."""
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from dataclasses import dataclass, field
 from functools import partial
 from http import HTTPStatus
@@ -285,6 +286,7 @@
             attempt.end()
         state.on_response()
         self._crash_checker.on_answer(target.entry, attempt.sent_at)
+        self._record_limit(response, target, state)
         self._log_attempt(attempt, response.status)
         if self._protocol.is_not_run(response):
             attempts.may_have_run = bool(attempts.possible_runners)
@@ -346,6 +348,19 @@
             work_seconds = state.load.on_answer(now - sent_at, running, waiting)
             self.chooser.work_times.on_work(service.name, work_seconds)
 
+    def _record_limit(self, response: HttpResponse, target: Target, state: TargetState) -> None:
+        """Record the limit that a target names in a response, or that it names none any more."""
+        limit = self._protocol.request_limit(response)
+        if limit is None:
+            logger.warning("ignoring the malformed limit of target %s", target.entry.id)
+            return
+        if math.isinf(limit) and response.status >= HTTPStatus.BAD_REQUEST:
+            # Refusals and errors do not come from the work that the limit protects.
+            return
+        now = trio.current_time()
+        if state.request_limiter.on_limit(limit, target.entry.incarnation, now):
+            decision("target-limit", target=target.entry.id, limit=limit)
+
     def _record_failed_attempt(self, attempt: _Attempt, exc: ExchangeError) -> None:
         """Record that a target returned no complete response.
 
--- a/radishshunt/gateway/target_choice.py
+++ b/radishshunt/gateway/target_choice.py
@@ -9,7 +9,12 @@
 from radishshunt.gateway.attempts import TargetState
 from radishshunt.gateway.target_pool import TargetPool
 from radishshunt.policy.direct.outage import OwnerOutages
-from radishshunt.policy.direct.refusal import can_meet_deadline, move_retry_after, retry_after
+from radishshunt.policy.direct.refusal import (
+    can_meet_deadline,
+    limit_retry_after,
+    move_retry_after,
+    retry_after,
+)
 from radishshunt.policy.direct.target_load import ServiceWorkTimes, TargetLoadEstimate
 
 if TYPE_CHECKING:
@@ -145,7 +150,9 @@
                     ):
                         raise self.overload_error(attempts, "overload", state)
                 if self._can_send(state, place) and not changed.is_set():
+                    self._check_limit(target, route, service, attempts)
                     self._count_cold_request(target, service, state, attempts)
+                    self._count_limited_request(target, route, service)
                     return target
             finally:
                 state.queue.remove(place)
@@ -186,6 +193,37 @@
         if not state.cold_rate_limiter.try_acquire(limit, self.hosts, trio.current_time()):
             raise self.overload_error(attempts, "cold", state)
 
+    def _limit_wait(self, target: Target, route: Route, service: Service) -> float:
+        """Return the seconds until a target takes a request from this host, by its named limit."""
+        limiter = self.state(target).request_limiter
+        if not limiter.is_limited(target.entry.incarnation):
+            return 0.0
+        urgent = self.is_urgent(route, service)
+        return limiter.seconds_until_free(self.hosts, trio.current_time(), urgent=urgent)
+
+    def _check_limit(
+        self, target: Target, route: Route, service: Service, attempts: RequestAttempts
+    ) -> None:
+        """Check whether a target takes a request from this host now, by its named limit.
+
+        :raises NotRun: If it does not.
+        :raises OutcomeOfRequestUnknown: If it does not and another target may have run the request.
+        """
+        wait = self._limit_wait(target, route, service)
+        if wait > 0.0:
+            raise self._limit_error(attempts, target.entry.id, wait)
+
+    def _limit_error(self, attempts: RequestAttempts, target: str, wait: float) -> Exception:
+        detail = f"target {target} takes no more requests at this moment"
+        return attempts.error("target-limit", detail, limit_retry_after(wait, self._rng))
+
+    def _count_limited_request(self, target: Target, route: Route, service: Service) -> None:
+        """Count a request against the limit that its target has named."""
+        limiter = self.state(target).request_limiter
+        if limiter.is_limited(target.entry.incarnation):
+            urgent = self.is_urgent(route, service)
+            limiter.try_acquire(self.hosts, trio.current_time(), urgent=urgent)
+
     async def _choose_owner(
         self,
         req: CallerRequest,
@@ -203,8 +241,11 @@
             raise self._no_target_error(
                 req, attempts, "target-unreachable", f"target {target.entry.id} is not reachable"
             )
-        load = self._view.overloaded.get(target.entry.id, 0.0)
         urgent = self.is_urgent(route, service)
+        if not attempts.sends:
+            state.request_limiter.count_request(trio.current_time(), urgent=urgent)
+        self._check_limit(target, route, service, attempts)
+        load = self._view.overloaded.get(target.entry.id, 0.0)
         if not attempts.sends and not state.overload_gate.try_admit(load, urgent=urgent):
             raise self._no_target_error(
                 req, attempts, "target-overloaded", f"target {target.entry.id} is overloaded"
@@ -252,6 +293,7 @@
             CROSS_DOMAIN_PENALTY_SECONDS + CROSS_DOMAIN_PENALTY_SECONDS_PER_BYTE * len(req.body)
         )
         best: tuple[float, Target] | None = None
+        limited: tuple[float, str] | None = None
         for target in self._view.targets_of(service.name):
             if (
                 target.entry.id in attempts.refused_by
@@ -260,6 +302,10 @@
                 continue
             if not self._view.may_use(target, owner=False):
                 continue
+            wait = self._limit_wait(target, route, service)
+            if wait > 0.0:
+                limited = min(limited or (wait, target.entry.id), (wait, target.entry.id))
+                continue
             state = self.state(target)
             load = state.load
             cost = load.expected_wait(now) + load.response_seconds * load.slowdown
@@ -272,12 +318,17 @@
             cost += self._rng.uniform(0.0, COST_JITTER * load.work_seconds)
             if best is None or cost < best[0]:
                 best = (cost, target)
+        if best is None and limited is not None:
+            raise self._limit_error(attempts, limited[1], limited[0])
         if best is None:
             raise self._no_target_error(
                 req, attempts, "no-target", f"service {service.name} has no available target"
             )
         if not self._can_meet_deadline(best[1], route, service, deadline):
             raise self.overload_error(attempts, "overload", self.state(best[1]))
+        if not attempts.sends:
+            limiter = self.state(best[1]).request_limiter
+            limiter.count_request(now, urgent=self.is_urgent(route, service))
         return best[1]
 
     def _can_meet_deadline(
--- a/radishshunt/platform/names.py
+++ b/radishshunt/platform/names.py
@@ -12,6 +12,8 @@
 NOT_RUN_HEADER = "x-radishshunt-not-executed"
 INSTANCE_HEADER = "x-radishshunt-instance-id"
 HANDOVER_HEADER = "x-radishshunt-handover"
+# Requests per second that a target takes from all hosts together; this name has no prefix.
+REQUEST_LIMIT_HEADER = "server-limit"
 
 # Header of the store's answers; its number rises whenever the store was restored from a copy.
 STORE_ERA_HEADER = "store-era"
--- a/radishshunt/platform/target_protocol.py
+++ b/radishshunt/platform/target_protocol.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 from typing import TYPE_CHECKING
 
 from radishshunt.gateway.exchange import HttpResponse, OutgoingRequest
@@ -19,6 +20,7 @@
     LOAD_HEADER,
     NOT_RUN_HEADER,
     RELEASE_PATH,
+    REQUEST_LIMIT_HEADER,
     SIGNATURE_HEADER,
 )
 
@@ -31,6 +33,7 @@
 _KEY_HEADER = KEY_HEADER.encode()
 _EXPECTED_TARGET_HEADER = EXPECTED_TARGET_HEADER.encode()
 _LOAD_HEADER = LOAD_HEADER.encode()
+_REQUEST_LIMIT_HEADER = REQUEST_LIMIT_HEADER.encode()
 _NOT_RUN_HEADER = NOT_RUN_HEADER.encode()
 _INSTANCE_HEADER = INSTANCE_HEADER.encode()
 _HANDOVER_HEADER = HANDOVER_HEADER.encode()
@@ -75,6 +78,12 @@
             return None
         return LoadReport(running, waiting, max(1, slots), rest[0] / 100 if rest else 1.0)
 
+    def request_limit(self, response: HttpResponse) -> float | None:
+        value = response.header(_REQUEST_LIMIT_HEADER)
+        if value is None:
+            return math.inf
+        return float(value) if _is_number(value) else None
+
     def is_not_run(self, response: HttpResponse) -> bool:
         return (
             response.header(_NOT_RUN_HEADER) is not None or response.status == MISDIRECTED_REQUEST
--- a/radishshunt/policy/direct/refusal.py
+++ b/radishshunt/policy/direct/refusal.py
@@ -59,6 +59,14 @@
     return delay * rng.uniform(1.0, 1.0 + RETRY_JITTER_SHARE)
 
 
+def limit_retry_after(wait_seconds: float, rng: Random) -> float:
+    """Return the delay after which a caller should retry whose target takes no more requests now.
+
+    :param wait_seconds: Time until this host may send the next request to the target.
+    """
+    return max(MIN_RETRY_SECONDS, wait_seconds) * rng.uniform(1.0, 1.0 + RETRY_JITTER_SHARE)
+
+
 def move_retry_after(remaining_seconds: float, rng: Random) -> float:
     """Return the delay after which a caller should retry whose key needs another owner.
 
