Plan key moves by the limits that targets name

Callers of keys at targets that take few requests were refused although other targets had room. Hosts now report the limit that a target names with its work time, and the leader takes 1.3 times that as the target's capacity. What the leader measures above a named limit is not shed a second time.

--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -50,6 +50,9 @@
 RENEWAL_FAILURE_SECONDS = 1.2
 # Fraction of a cold target's request rate limit that placement plans for.
 COLD_PLAN_FRACTION = 0.5
+# Multiple of the limit that a target has named that placement plans for. Hosts refuse what exceeds
+# the limit; if all of it was moved, the targets with room would be overloaded.
+NAMED_LIMIT_PLAN_FACTOR = 1.3
 
 
 class LoadStatistics(ABC):
@@ -63,6 +66,10 @@
     def work_seconds(self, target: str) -> float:
         """Return the mean time for which a request occupies a slot of a target."""
 
+    @abstractmethod
+    def request_limit(self, target: str) -> float:
+        """Return the requests per second that a target takes, infinite if it names no limit."""
+
 
 class Coordinator:
     """Assigns keys to targets while this host is the leader.
@@ -220,12 +227,15 @@
             limit = math.inf
             if cold and service.cold_per_second:
                 limit = COLD_PLAN_FRACTION * service.cold_per_second
+            capacity = entry.slots / self._load_statistics.work_seconds(entry.id)
+            named_limit = self._load_statistics.request_limit(entry.id)
             targets[entry.id] = RangeTarget(
                 id=entry.id,
-                capacity=entry.slots / self._load_statistics.work_seconds(entry.id),
+                capacity=min(capacity, NAMED_LIMIT_PLAN_FACTOR * named_limit),
                 accepts_keys=may_hold_keys,
                 keeps_keys=may_hold_keys,
                 load_limit=limit,
+                named_limit=not math.isinf(named_limit),
             )
         return targets
 
--- a/radishshunt/gateway/gateway.capnp
+++ b/radishshunt/gateway/gateway.capnp
@@ -57,6 +57,8 @@
   target @0 :Text;
   seconds @1 :Float32;
   samples @2 :UInt32;
+  # Requests per second that the target takes from all hosts together.
+  requestLimit @3 :Float32 = inf;
 }
 
 struct Suspect {
--- a/radishshunt/gateway/load_statistics.py
+++ b/radishshunt/gateway/load_statistics.py
@@ -27,6 +27,7 @@
         self._clock = clock
         self._rates: dict[str, dict[int, float]] = {}
         self._work_seconds: dict[str, float] = {}
+        self._request_limits: dict[str, float] = {}
         self._decayed_at = clock.now()
 
     def add_report(self, report: Report) -> None:
@@ -38,6 +39,7 @@
                 rates[key] = rates.get(key, 0.0) + count / RATE_WINDOW_SECONDS
         for work in report.work_times:
             previous = self._work_seconds.setdefault(work.target, work.seconds)
+            self._request_limits[work.target] = work.request_limit
             weight = min(MAX_REPORT_WEIGHT, SAMPLE_WEIGHT * work.samples)
             self._work_seconds[work.target] = previous + weight * (work.seconds - previous)
 
@@ -51,6 +53,9 @@
         known = self._work_seconds.values()
         return sum(known) / len(known) if known else DEFAULT_WORK_SECONDS
 
+    def request_limit(self, target: str) -> float:
+        return self._request_limits.get(target, math.inf)
+
     def _decay(self) -> None:
         now = self._clock.now()
         elapsed = now - self._decayed_at
--- a/radishshunt/gateway/messages.py
+++ b/radishshunt/gateway/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from dataclasses import dataclass, field
 from importlib.resources import as_file, files
@@ -75,11 +76,14 @@
 
     :param seconds: Mean time for which a request occupies a slot.
     :param samples: Number of responses measured since the last report.
+    :param request_limit: Requests per second that the target takes from all hosts together,
+        infinite if it names no limit.
     """
 
     target: str
     seconds: float
     samples: int
+    request_limit: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,7 +136,12 @@
                 for service, counts in msg.request_counts.items()
             ],
             "work": [
-                {"target": item.target, "seconds": item.seconds, "samples": item.samples}
+                {
+                    "target": item.target,
+                    "seconds": item.seconds,
+                    "samples": item.samples,
+                    "requestLimit": item.request_limit,
+                }
                 for item in msg.work_times
             ],
             "suspects": _suspect_fields(msg.suspects),
@@ -257,7 +266,8 @@
         item.service: {entry.key: entry.count for entry in item.counts} for item in report.heat
     }
     work_times = tuple(
-        TargetWorkTime(item.target, item.seconds, item.samples) for item in report.work
+        TargetWorkTime(item.target, item.seconds, item.samples, item.requestLimit)
+        for item in report.work
     )
     suspects = _decode_suspects(report.suspects)
     hello = _decode_hello(report.hello) if report._has("hello") else None
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -169,7 +169,14 @@
         for key, state in self.chooser.states.items():
             if state.load.samples:
                 target = key.partition("/")[0]
-                work.append(TargetWorkTime(target, state.load.work_seconds, state.load.samples))
+                work.append(
+                    TargetWorkTime(
+                        target,
+                        state.load.work_seconds,
+                        state.load.samples,
+                        state.request_limiter.limit,
+                    )
+                )
                 state.load.samples = 0
         return Report(self._cfg.name, counts, tuple(work))
 
--- a/radishshunt/placement/key_ranges.py
+++ b/radishshunt/placement/key_ranges.py
@@ -54,6 +54,8 @@
     :param accepts_keys: Whether it may receive further keys.
     :param keeps_keys: Whether it may keep the keys that it owns.
     :param load_limit: Requests per second that a cold target must not exceed.
+    :param named_limit: Whether the capacity is that which the target has named. Hosts keep to it
+        without the load being known.
     :param load: Requests per second for the keys that it owns or receives.
     """
 
@@ -62,6 +64,7 @@
     accepts_keys: bool = True
     keeps_keys: bool = True
     load_limit: float = float("inf")
+    named_limit: bool = False
     load: float = 0.0
 
     @property
@@ -213,7 +216,7 @@
     """
     loads: dict[str, float] = {}
     for item in ranges:
-        if item.target in targets:
+        if item.target in targets and not targets[item.target].named_limit:
             loads[item.target] = loads.get(item.target, 0.0) + key_rates.load(item.first, item.last)
     ratios = {name: load / targets[name].capacity for name, load in loads.items()}
     return {name: ratio for name, ratio in ratios.items() if ratio >= SHEDDING_LOAD_RATIO}
--- a/tests/test_gateway/test_gateway_request_limits.py
+++ b/tests/test_gateway/test_gateway_request_limits.py
@@ -11,6 +11,8 @@
 from radishshunt.clock import SystemClock
 from radishshunt.errors import NotRun
 from radishshunt.gateway import crash_checks, target_pool
+from radishshunt.gateway.load_statistics import ReportedLoadStatistics
+from radishshunt.gateway.messages import Report, TargetWorkTime, decode, encode
 from radishshunt.gateway.rows import Topic
 from radishshunt.gateway.sender import Sender
 from radishshunt.platform.target_protocol import HttpTargetProtocol
@@ -192,3 +194,15 @@
         assert fleet.arrived_at[0]
         assert _most_in_a_window(fleet.arrived_at[0]) <= ALLOWED_REQUESTS
         nursery.cancel_scope.cancel()
+
+
+def test_leader_learns_of_limits_from_reports() -> None:
+    """Guards against keys that stay at targets which take few of their requests."""
+    statistics = ReportedLoadStatistics(SystemClock())
+    for limit in (4.5, float("inf")):
+        report = Report("host", {}, (TargetWorkTime("i-1", 0.1, 1, limit),))
+        decoded = decode(encode(report)[4:])
+        assert isinstance(decoded, Report)
+        statistics.add_report(decoded)
+        assert statistics.request_limit("i-1") == limit
+    assert statistics.request_limit("i-2") == float("inf")
--- a/tests/test_placement/test_placement_key_ranges.py
+++ b/tests/test_placement/test_placement_key_ranges.py
@@ -14,6 +14,7 @@
     KeyRangeMove,
     KeyRates,
     RangeTarget,
+    overload_ratios,
     plan_initial_moves,
     plan_moves,
 )
@@ -181,3 +182,15 @@
 def test_leader_that_knows_no_targets_moves_nothing() -> None:
     """Guards against a host that fails when it leads before it has read the targets."""
     assert plan_moves(_even_ranges(), {}, KeyRates({})) == []
+
+
+def test_load_above_a_named_limit_is_moved_and_not_shed() -> None:
+    """Guards against shedding twice, as hosts keep to named limits by themselves."""
+    ranges = [KeyRange(0, 32_767, "a", 1, 1), KeyRange(32_768, LAST_KEY, "b", 1, 2)]
+    targets = {
+        "a": RangeTarget("a", capacity=2.0, named_limit=True),
+        "b": RangeTarget("b", capacity=40.0),
+    }
+    rates = KeyRates(dict.fromkeys(range(1000, 11000, 1000), 1.0))
+    assert overload_ratios(ranges, targets, rates) == {}
+    assert {(move.source, move.to) for move in plan_moves(ranges, targets, rates)} == {("a", "b")}
