Take responses of another process at an address for no sign of its target

A misdirected request is answered by another process; its response counted as one of the target, so that it could clear a pending check and set a limit. Seen by reading the diff; the test shows that such a response ends the check with a loss. Suspects that were forgotten no longer stay in the list of those to send, and old watched requests are dropped when targets change.

--- a/radishshunt/gateway/crash_checks.py
+++ b/radishshunt/gateway/crash_checks.py
@@ -242,14 +242,21 @@
     def _watch(self, check: _Check, requests: list[LostRequest]) -> None:
         """Move requests from a check to the watched ones."""
         check.lost = [request for request in check.lost if request not in requests]
-        watched_since = trio.current_time() - WATCH_SECONDS
-        self._watched = [item for item in self._watched if item.request.lost_at > watched_since]
+        self._forget_old_requests()
         self._watched += [_WatchedRequest(check.entry, request) for request in requests]
         del self._watched[:-MAX_WATCHED_REQUESTS]
 
+    def _forget_old_requests(self) -> None:
+        """Stop watching requests that were lost longer than :data:`WATCH_SECONDS` ago."""
+        watched_since = trio.current_time() - WATCH_SECONDS
+        self._watched = [item for item in self._watched if item.request.lost_at > watched_since]
+
     def _on_change(self, change: Change | None) -> None:
         """Look for restarts of watched targets in changed entries."""
-        if change is None or change.topic is not Topic.TARGETS or not self._watched:
+        if change is None or change.topic is not Topic.TARGETS:
+            return
+        self._forget_old_requests()
+        if not self._watched:
             return
         entries = {target.entry.address: target.entry for target in self._view.targets.values()}
         for entry in {_process(item.entry): item.entry for item in self._watched}.values():
@@ -261,11 +268,10 @@
 
     def _record_watched(self, entry: TargetEntry) -> None:
         """Record the watched requests of a target whose process has ended."""
-        watched_since = trio.current_time() - WATCH_SECONDS
+        self._forget_old_requests()
         ended = [item for item in self._watched if _process(item.entry) == _process(entry)]
         self._watched = [item for item in self._watched if item not in ended]
-        lost = [item.request for item in ended if item.request.lost_at > watched_since]
-        self._record_losses(entry, lost, TargetFate.REPLACED)
+        self._record_losses(entry, [item.request for item in ended], TargetFate.REPLACED)
 
     def _record_losses(self, entry: TargetEntry, lost: list[LostRequest], fate: TargetFate) -> None:
         incarnation = xxh3_64_intdigest(f"{entry.id}/{entry.incarnation}".encode())
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -292,8 +292,11 @@
         finally:
             attempt.end()
         state.on_response()
-        self._crash_checker.on_answer(target.entry, attempt.sent_at)
-        self._record_limit(response, target, state)
+        if self._protocol.identity(response) in ("", target.entry.id):
+            self._crash_checker.on_answer(target.entry, attempt.sent_at)
+            self._record_limit(response, target, state)
+        else:
+            self._crash_checker.on_other_process(target.entry)
         self._log_attempt(attempt, response.status)
         if self._protocol.is_not_run(response):
             attempts.may_have_run = bool(attempts.possible_runners)
@@ -421,8 +424,6 @@
             have run it.
         """
         if self._protocol.is_wrong_target(response):
-            if self._protocol.identity(response) not in ("", target.entry.id):
-                self._crash_checker.on_other_process(target.entry)
             if attempts.sends >= MAX_SENDS:
                 raise self.chooser.overload_error(attempts, "no-owner", state)
             attempts.last_non_owner = (target.entry.id, target.entry.incarnation)
--- a/radishshunt/gateway/suspect_exchange.py
+++ b/radishshunt/gateway/suspect_exchange.py
@@ -70,10 +70,10 @@
             self._unreported[key] = None
 
     def _take(self, pending: dict[SuspectKey, None]) -> tuple[Suspect, ...]:
+        """Remove the most important suspects from the pending ones, and return them."""
         chosen = self._quarantine.most_important(pending, MAX_MESSAGE_SUSPECTS)
-        for key in chosen:
-            del pending[key]
-        if len(pending) > len(self._quarantine):
-            # The others have been forgotten meanwhile.
-            pending.clear()
+        sent = set(chosen)
+        for key in list(pending):
+            if key in sent or key not in self._quarantine:
+                del pending[key]
         return self._quarantine.describe(chosen)
--- a/radishshunt/quarantine.py
+++ b/radishshunt/quarantine.py
@@ -99,6 +99,9 @@
     def __len__(self) -> int:
         return len(self._entries)
 
+    def __contains__(self, key: SuspectKey) -> bool:
+        return key in self._entries
+
     def is_quarantined(self, fingerprint: int, idempotency_key: str, now: float) -> bool:
         """Return whether a request is refused because of the targets lost under it."""
         if self.count_losses(fingerprint, idempotency_key, now) < REFUSED_AFTER_LOSSES:
--- a/tests/test_gateway/test_gateway_crash_checks.py
+++ b/tests/test_gateway/test_gateway_crash_checks.py
@@ -13,6 +13,7 @@
 from radishshunt.clock import SystemClock
 from radishshunt.errors import RequestError
 from radishshunt.gateway import crash_checks, target_pool
+from radishshunt.gateway.crash_checks import LostRequest
 from radishshunt.gateway.rows import Topic
 from radishshunt.gateway.sender import Sender, request_fingerprint
 from radishshunt.platform.target_protocol import HttpTargetProtocol
@@ -21,6 +22,7 @@
 from tests.support.target_fleet import (
     CRASHING_PATH,
     HARMLESS_PATH,
+    HEALTH_PATH,
     OK,
     SLOW_PATH,
     WITHOUT_KEYS,
@@ -198,6 +200,20 @@
     assert await fleet.send(CRASHING_PATH) == 503
 
 
+async def test_response_of_another_process_shows_that_the_target_has_ended(
+    autojump_clock: object, fleet: _Fleet
+) -> None:
+    """Guards against a target that seems to run since its address is in use again."""
+    entry = fleet.view.targets["i-0"].entry
+    checker = fleet.sender._crash_checker
+    await trio.sleep(0.1)
+    checker.check(
+        entry, HEALTH_PATH, LostRequest(7, frozenset(), trio.current_time()), broken=False
+    )
+    checker.on_other_process(entry)
+    assert fleet.quarantine.count_losses(7, "", SystemClock().now()) == 1
+
+
 async def test_overloaded_targets_that_reset_connections_are_not_taken_for_crashed(
     autojump_clock: object, fleet: _Fleet
 ) -> None:
