--- /dev/null
+++ b/review/stand_ins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the users' platform, workers and clients, on loopback addresses."""
