Read rows of other writers in one place, however they are spoilt

Cause: msgspec and json raise RecursionError for such bytes, which is no ValueError. decode_target turned only ValueError into ProtocolError, so that the exception ended the component that follows the table, on the other hosts the link, and after five failures the process. The decoders of the configuration, of the leader's row and of the key maps were of the same kind. A key map with a number in the place of a text raised TypeError.

Change: JsonDecoder decodes whatever other processes have written, and reports everything that is wrong by ProtocolError, which the view expects for each row. Leader's rows and key maps have models now, which check the types as well. This works for all rows since the view has no other decoder. What a host does with an unreadable row stays: an entry names no target, any other row leaves what was known.

--- a/radishshunt/gateway/key_maps.py
+++ b/radishshunt/gateway/key_maps.py
@@ -5,10 +5,13 @@
 import json
 from bisect import bisect_right
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
+
+import msgspec
 
 from radishshunt.errors import ProtocolError
 from radishshunt.gateway.model import KEY_COUNT, LAST_KEY, KeyMap, KeyRange
+from radishshunt.util.json_decoder import JsonDecoder
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -26,6 +29,39 @@
 # A transaction writes at most 100 rows.
 MAX_PARTS = 64
 
+_Key = Annotated[int, msgspec.Meta(ge=0, le=LAST_KEY)]
+_NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _RangeFields(msgspec.Struct, array_like=True):
+    first: _Key
+    last: _Key
+    target: str
+    incarnation: int
+    fence: int
+    address: str = ""
+
+
+class _IndexFields(msgspec.Struct):
+    """Fields of the row that holds a whole key map or tells how it is divided."""
+
+    next_fence: int
+    ranges: list[_RangeFields] = []
+    # Number of parts, absent if the row holds the whole key map.
+    parts: Annotated[int, msgspec.Meta(ge=1, le=MAX_PARTS)] | None = None
+    uncertain: bool = False
+
+
+class _PartFields(msgspec.Struct):
+    # Target, incarnation and address of each owner.
+    owners: list[tuple[str, int, str]]
+    # First key, last key, position of the owner and fencing token of each range.
+    ranges: list[tuple[_Key, _Key, _NonNegativeInteger, int]]
+
+
+_INDEX_DECODER = JsonDecoder(_IndexFields)
+_PART_DECODER = JsonDecoder(_PartFields)
+
 
 def encode_key_map(key_map: KeyMap, *, uncertain: bool = False) -> bytes:
     """Encode a key map as the value of a single row.
@@ -71,11 +107,7 @@
 
     :raises ProtocolError: If the value is malformed or the key map does not cover all keys.
     """
-    doc = _decode_index(value)
-    key_map = KeyMap(_decode_ranges(doc.get("ranges")), _next_fence(doc))
-    if key_map.ranges:
-        _check_coverage(key_map.ranges, 0, LAST_KEY)
-    return key_map
+    return _whole_key_map(_decode_index(value))
 
 
 class KeyIndex:
@@ -142,22 +174,15 @@
 
         :raises ProtocolError: If the value is malformed.
         """
-        doc = _decode_index(value)
-        if "parts" not in doc:
-            self.indexes[service] = KeyIndex.of(decode_key_map(value))
-            self._mark_uncertain(service, doc)
-            return
-        count = doc["parts"]
-        if not isinstance(count, int) or not 1 <= count <= MAX_PARTS:
-            raise ProtocolError(f"key map of {service} has {count!r} parts")
-        known = self._parts.get((service, count), {})
-        self.indexes[service] = KeyIndex(
-            _next_fence(doc), [known.get(number) for number in range(count)]
-        )
-        self._mark_uncertain(service, doc)
-
-    def _mark_uncertain(self, service: str, doc: dict) -> None:
-        if doc.get("uncertain"):
+        fields = _decode_index(value)
+        if fields.parts is None:
+            self.indexes[service] = KeyIndex.of(_whole_key_map(fields))
+        else:
+            known = self._parts.get((service, fields.parts), {})
+            self.indexes[service] = KeyIndex(
+                fields.next_fence, [known.get(number) for number in range(fields.parts)]
+            )
+        if fields.uncertain:
             self.uncertain.add(service)
         else:
             self.uncertain.discard(service)
@@ -198,39 +223,37 @@
 
 def _decode_part(value: bytes) -> tuple[KeyRange, ...]:
     try:
-        doc = json.loads(value)
-        owners = doc["owners"]
-        ranges = []
-        for first, last, number, fence in doc["ranges"]:
-            target, incarnation, address = owners[number]
-            ranges.append(KeyRange(first, last, target, incarnation, fence, address))
-    except (ValueError, KeyError, TypeError, IndexError) as exc:
-        raise ProtocolError(f"malformed part of a key map: {exc!r}") from exc
+        fields = _PART_DECODER.decode(value)
+    except ProtocolError as exc:
+        raise ProtocolError(f"part of a key map: {exc}") from exc
+    ranges = []
+    for first, last, number, fence in fields.ranges:
+        if number >= len(fields.owners):
+            raise ProtocolError(f"part of a key map: there is no owner {number}")
+        target, incarnation, address = fields.owners[number]
+        ranges.append(KeyRange(first, last, target, incarnation, fence, address))
     return tuple(ranges)
 
 
-def _decode_index(value: bytes) -> dict:
+def _decode_index(value: bytes) -> _IndexFields:
     try:
-        doc = json.loads(value)
-    except ValueError as exc:
-        raise ProtocolError(f"malformed key map: {exc!r}") from exc
-    if not isinstance(doc, dict):
-        raise ProtocolError("malformed key map: not an object")
-    return doc
+        return _INDEX_DECODER.decode(value)
+    except ProtocolError as exc:
+        raise ProtocolError(f"key map: {exc}") from exc
 
 
-def _next_fence(doc: dict) -> int:
-    try:
-        return int(doc["next_fence"])
-    except (ValueError, KeyError, TypeError) as exc:
-        raise ProtocolError(f"malformed key map: {exc!r}") from exc
-
+def _whole_key_map(fields: _IndexFields) -> KeyMap:
+    """Return the key map of an undivided row.
 
-def _decode_ranges(items: object) -> tuple[KeyRange, ...]:
-    try:
-        return tuple(KeyRange(*fields) for fields in items)
-    except TypeError as exc:
-        raise ProtocolError(f"malformed key map: {exc!r}") from exc
+    :raises ProtocolError: If it does not cover all keys.
+    """
+    ranges = tuple(
+        KeyRange(r.first, r.last, r.target, r.incarnation, r.fence, r.address)
+        for r in fields.ranges
+    )
+    if ranges:
+        _check_coverage(ranges, 0, LAST_KEY)
+    return KeyMap(ranges, fields.next_fence)
 
 
 def _check_coverage(ranges: tuple[KeyRange, ...], first: int, last: int) -> None:
--- a/radishshunt/gateway/leadership.py
+++ b/radishshunt/gateway/leadership.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import logging
 from random import Random
 from typing import TYPE_CHECKING
@@ -12,6 +11,7 @@
 
 from radishshunt.errors import PlatformOutcomeUnknown, PlatformUnavailable, ProtocolError
 from radishshunt.gateway.key_maps import KEY_MAP_PREFIX
+from radishshunt.gateway.leader_row import LEADER_KEY, Leader, decode_leader, encode_leader
 from radishshunt.gateway.rows import (
     Change,
     HistoryLost,
@@ -20,7 +20,6 @@
     Topic,
     restore_count,
 )
-from radishshunt.gateway.view import LEADER_KEY
 from radishshunt.logs import decision
 
 if TYPE_CHECKING:
@@ -200,7 +199,7 @@
             try:
                 with trio.move_on_after(0.5):
                     await self._store.commit(
-                        {LEADER_KEY: version}, [(LEADER_KEY, _encode_leader_row("", "", ""))]
+                        {LEADER_KEY: version}, [(LEADER_KEY, encode_leader(Leader()))]
                     )
             except (
                 PlatformUnavailable,
@@ -248,7 +247,7 @@
             # Another host has led meanwhile.
             return False
         sent_at = self._view.clock.now()
-        value = _encode_leader_row(self._cfg.name, self._address, term)
+        value = encode_leader(Leader(self._cfg.name, self._address, term))
         try:
             try:
                 result = await self._store.commit({LEADER_KEY: expected}, [(LEADER_KEY, value)])
@@ -333,7 +332,7 @@
             )
 
     async def _renew(self, sent_at: float) -> None:
-        value = _encode_leader_row(self._cfg.name, self._address, self.term)
+        value = encode_leader(Leader(self._cfg.name, self._address, self.term))
         result = await self._store.commit({LEADER_KEY: self._version}, [(LEADER_KEY, value)])
         if result.done:
             self._version = result.version
@@ -371,12 +370,9 @@
     )
 
 
-def _encode_leader_row(host: str, address: str, term: str) -> bytes:
-    return json.dumps({"host": host, "address": address, "term": term}).encode()
-
-
 def _decode_term(value: bytes | None) -> str:
+    """Return the term in a leader's row, empty if the row is absent or malformed."""
     try:
-        return str(json.loads(value or b"{}").get("term", ""))
-    except (ValueError, AttributeError):
+        return decode_leader(value or b"").term
+    except ProtocolError:
         return ""
--- a/radishshunt/gateway/link_server.py
+++ b/radishshunt/gateway/link_server.py
@@ -14,10 +14,10 @@
 from radishshunt.errors import ProtocolError
 from radishshunt.gateway.frames import FrameReader
 from radishshunt.gateway.host_versions import HostVersions
+from radishshunt.gateway.leader_row import LEADER_KEY
 from radishshunt.gateway.messages import Hello, Report, StateUpdate, encode
 from radishshunt.gateway.row_deltas import DeltaEncoder
 from radishshunt.gateway.rows import Change, Topic
-from radishshunt.gateway.view import LEADER_KEY
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Mapping
--- a/radishshunt/gateway/view.py
+++ b/radishshunt/gateway/view.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 import logging
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
@@ -11,6 +10,7 @@
 
 from radishshunt.errors import ProtocolError
 from radishshunt.gateway.key_maps import KEY_MAP_PART_PREFIX, KEY_MAP_PREFIX, KeyMapRows
+from radishshunt.gateway.leader_row import LEADER_KEY, Leader, decode_leader
 from radishshunt.gateway.rows import Change, Row, Topic, restore_count
 from radishshunt.logs import decision
 
@@ -24,7 +24,6 @@
 
 logger = logging.getLogger(__name__)
 
-LEADER_KEY = "leader"
 # Targets whose entries expired during an outage of the store have registered again this long after
 # its end.
 REREGISTRATION_SECONDS = 2.2
@@ -74,20 +73,6 @@
     deadline: float
 
 
-@dataclass(frozen=True, slots=True)
-class Leader:
-    """The leader according to its row in the store.
-
-    :param term: Random identifier of the term.
-    :param address: Address of its port for other hosts.
-    """
-
-    host: str = ""
-    address: str = ""
-    term: str = ""
-    version: int = 0
-
-
 class View:
     """Local view of one host; its rows change only by :meth:`apply` and after a restore.
 
@@ -477,11 +462,7 @@
 
     def _apply_own_row(self, row: Row) -> None:
         if row.key == LEADER_KEY:
-            try:
-                doc = json.loads(row.value or b"{}")
-                self.leader = Leader(doc["host"], doc["address"], doc["term"], row.version)
-            except (ValueError, KeyError, TypeError) as exc:
-                raise ProtocolError(f"malformed leader row: {exc!r}") from exc
+            self.leader = decode_leader(row.value or b"", row.version)
             self.leader_row_seen_at = self.clock.now()
         elif row.key.startswith(KEY_MAP_PREFIX):
             service = row.key[len(KEY_MAP_PREFIX) :]
--- a/radishshunt/platform/catalog.py
+++ b/radishshunt/platform/catalog.py
@@ -18,6 +18,7 @@
 )
 from radishshunt.gateway.rows import RowReader
 from radishshunt.platform.names import CONFIGURATION_KEY, EVACUATION_PREFIX
+from radishshunt.util.json_decoder import JsonDecoder, convert
 
 _KINDS = {
     "idempotent": RequestKind.IDEMPOTENT,
@@ -103,8 +104,8 @@
     born: NonNegativeInteger | None = None
 
 
-_CONFIGURATION_DECODER = msgspec.json.Decoder(_Configuration)
-_ENTRY_DECODER = msgspec.json.Decoder(_Entry)
+_CONFIGURATION_DECODER = JsonDecoder(_Configuration)
+_ENTRY_DECODER = JsonDecoder(_Entry)
 
 
 def decode_configuration(value: bytes) -> Configuration:
@@ -120,13 +121,13 @@
         for item in doc.Resources:
             name = item.Meta.Name
             if item.ResourceKind == "Routes":
-                routes.append(_route(name, _convert(item.Spec, _Route)))
+                routes.append(_route(name, convert(item.Spec, _Route)))
             elif item.ResourceKind == "Services":
-                services[name] = _service(name, _convert(item.Spec, _Service))
+                services[name] = _service(name, convert(item.Spec, _Service))
             elif item.ResourceKind == "Limits":
-                limits = _limits(_convert(item.Spec, _Limits))
+                limits = _limits(convert(item.Spec, _Limits))
         return Configuration(doc.Version, tuple(routes), services, limits)
-    except ValueError as exc:
+    except ProtocolError as exc:
         raise ProtocolError(f"configuration: {exc}") from exc
 
 
@@ -138,10 +139,8 @@
     """
     try:
         entry = _ENTRY_DECODER.decode(value)
-        ip, _, port = entry.Addr.rpartition(":")
-        if not ip or not 0 < int(port) < 65536:
-            raise ValueError(f"invalid address {entry.Addr}")
-    except ValueError as exc:
+        _check_address(entry.Addr)
+    except ProtocolError as exc:
         raise ProtocolError(f"target entry {key}: {exc}") from exc
     return TargetEntry(
         id=key,
@@ -172,12 +171,14 @@
         return decode_target(key, value)
 
 
-def _convert(spec: dict[str, Any], kind: Any) -> Any:
-    """Return a resource's specification as a model; numbers may be given as text.
+def _check_address(address: str) -> None:
+    """Check the address of a target.
 
-    :raises ValueError: If the specification is malformed.
+    :raises ProtocolError: If it is not of the form ``ip:port``.
     """
-    return msgspec.convert(spec, kind, strict=False)
+    ip, _, port = address.rpartition(":")
+    if not ip or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ProtocolError(f"invalid address {address}")
 
 
 def _route(name: str, spec: _Route) -> Route:
@@ -186,7 +187,7 @@
     elif spec.Service:
         shares = (Share(spec.Service, 1.0),)
     else:
-        raise ValueError(f"route {name} has no service")
+        raise ProtocolError(f"route {name} has no service")
     timeout = spec.TimeoutMs / 1000
     return Route(
         name=name,
--- a/tests/test_gateway/test_gateway_leadership.py
+++ b/tests/test_gateway/test_gateway_leadership.py
@@ -10,6 +10,7 @@
 import pytest
 import trio
 
+from radishshunt.gateway.leader_row import LEADER_KEY
 from radishshunt.gateway.leadership import (
     LEASE_SECONDS,
     RENEW_INTERVAL_SECONDS,
@@ -17,7 +18,7 @@
     LeaseLost,
 )
 from radishshunt.gateway.rows import Topic
-from radishshunt.gateway.view import LEADER_KEY, View
+from radishshunt.gateway.view import View
 from radishshunt.platform.catalog import CatalogReader
 
 if TYPE_CHECKING:
--- a/tests/test_gateway/test_gateway_links.py
+++ b/tests/test_gateway/test_gateway_links.py
@@ -17,6 +17,7 @@
 from radishshunt.gateway.host_count import HostCount
 from radishshunt.gateway.host_versions import HostVersions
 from radishshunt.gateway.key_maps import encode_key_map
+from radishshunt.gateway.leader_row import LEADER_KEY
 from radishshunt.gateway.link_client import LinkClient
 from radishshunt.gateway.link_server import (
     BACKUP_HOSTS,
@@ -30,7 +31,7 @@
 from radishshunt.gateway.rows import Change, Row, Topic
 from radishshunt.gateway.settings import Bounds, HostSettings
 from radishshunt.gateway.suspect_exchange import SuspectExchange
-from radishshunt.gateway.view import LEADER_KEY, View
+from radishshunt.gateway.view import View
 from radishshunt.platform.catalog import CatalogReader
 from radishshunt.quarantine import Quarantine
 from tests.test_gateway.conftest import CONFIGURATION
--- a/tests/test_gateway/test_gateway_uncertain_key_maps.py
+++ b/tests/test_gateway/test_gateway_uncertain_key_maps.py
@@ -12,13 +12,14 @@
 from radishshunt.gateway.coordinator import Coordinator
 from radishshunt.gateway.follower import Follower
 from radishshunt.gateway.key_maps import encode_key_map
+from radishshunt.gateway.leader_row import LEADER_KEY
 from radishshunt.gateway.leadership import LEASE_SECONDS, Leadership
 from radishshunt.gateway.load_statistics import ReportedLoadStatistics
 from radishshunt.gateway.model import LAST_KEY, KeyMap, KeyRange
 from radishshunt.gateway.rows import RESTORE_SHIFT, Change, Row, Topic
 from radishshunt.gateway.settings import Bounds
 from radishshunt.gateway.target_grants import MAX_GRANT_LIFETIME_SECONDS
-from radishshunt.gateway.view import LEADER_KEY, RESTORED_ROW_HEARTBEATS, View
+from radishshunt.gateway.view import RESTORED_ROW_HEARTBEATS, View
 from radishshunt.platform.catalog import CatalogReader
 from radishshunt.platform.target_protocol import HttpTargetProtocol
 from tests.test_gateway.conftest import CONFIGURATION, apply_row, entry_value
--- a/tests/test_platform/test_platform_catalog.py
+++ b/tests/test_platform/test_platform_catalog.py
@@ -46,7 +46,9 @@
         decode_target("i-1", _entry(path, value))
 
 
-@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"{}", b"null", b'{"Addr": "a:1"}'])
+@pytest.mark.parametrize(
+    "value", [b"", b"\xff\xfe", b"[]", b"{}", b"null", b'{"Addr": "a:1"}', b'{"Info":' * 2000]
+)
 def test_unreadable_entry_names_no_target(value: bytes) -> None:
     """Guards against a follower that stops at bytes that cannot be read."""
     with pytest.raises(ProtocolError):
