Take an unreadable answer of the store for a failed call

Callers would have seen: hosts that end one after the other, as with unreadable rows, if an answer of the store is nested too deep or has values of other types.

Cause: the client of the store decoded answers with json.loads and took values out of them unchecked. RecursionError, AttributeError, TypeError, KeyError and binascii.Error reached the components that follow the store, and a number of restores of more than 4,300 digits raised ValueError.

Change: answers have a model and go through JsonDecoder. A value that is no base64 makes only its own row unreadable. The number of restores has at most six digits, so that versions fit into the 64 bits of messages between hosts.

--- a/radishshunt/platform/store.py
+++ b/radishshunt/platform/store.py
@@ -4,13 +4,15 @@
 
 import base64
 import json
+import logging
 import re
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any
 from urllib.parse import urlencode
 
+import msgspec
 import trio
 
-from radishshunt.errors import PlatformOutcomeUnknown, PlatformUnavailable, ProtocolError
+from radishshunt.errors import PlatformOutcomeUnknown, PlatformUnavailable
 from radishshunt.gateway.exchange import ExchangeError, HttpResponse, OutgoingRequest
 from radishshunt.gateway.rows import (
     RESTORE_SHIFT,
@@ -34,10 +36,13 @@
     TARGETS_TABLE,
     TRANSACTION_PATH,
 )
+from radishshunt.util.json_decoder import JsonDecoder
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+logger = logging.getLogger(__name__)
+
 _TABLES = {
     Topic.OPERATOR: OPERATOR_TABLE,
     Topic.TARGETS: TARGETS_TABLE,
@@ -54,13 +59,47 @@
 # Statuses of calls that the store refused, without any effect.
 REFUSED_STATUSES = (429, 503)
 _ERA_HEADER = STORE_ERA_HEADER.encode()
+# Versions with the number of restores have to fit into 64 bits.
+_RESTORES = re.compile(rb"\d{1,6}")
 # Bits of a version that the store itself gave out.
 _STORE_VERSION_MASK = (1 << RESTORE_SHIFT) - 1
 # Last field of the values in the router's own table: the restores of the store before the write.
-_RESTORES_FIELD = re.compile(rb',"restores":(\d+)\}$')
+_RESTORES_FIELD = re.compile(rb',"restores":(\d{1,6})\}$')
 # Maximum number of bytes by which the field enlarges a value.
 RESTORES_FIELD_BYTES = 32
 
+_StoreVersion = Annotated[int, msgspec.Meta(ge=0, le=_STORE_VERSION_MASK)]
+_TimeMs = Annotated[float, msgspec.Meta(ge=0)]
+
+
+class _StoredRow(msgspec.Struct):
+    Key: str
+    part: str = ""
+    RowVersion: _StoreVersion = 0
+    IsGone: bool = False
+    # Base64, absent if the row was removed.
+    Value: str | None = None
+
+
+class _Conflict(msgspec.Struct):
+    """Answer to a transaction whose conditions do not hold."""
+
+    Rows: list[_StoredRow] = []
+    # Time of the store's steady clock.
+    TimeMs: _TimeMs = 0
+
+
+class _Answer(msgspec.Struct):
+    # Newest version of the store.
+    RowVersion: _StoreVersion
+    Rows: list[_StoredRow] = []
+    HasMore: bool = False
+    TimeMs: _TimeMs = 0
+
+
+_CONFLICT_DECODER = JsonDecoder(_Conflict)
+_ANSWER_DECODER = JsonDecoder(_Answer)
+
 
 class HttpRowStore(RowStore):
     """Row store over the HTTP interface of the users' store.
@@ -94,12 +133,12 @@
                 raise PlatformUnavailable(f"{ROWS_PATH}: status {HISTORY_GONE_STATUS}") from exc
             if version and restore_count(version) != self._restores:
                 raise PlatformUnavailable(f"{ROWS_PATH}: the store was restored between two pages")
-            page = self._decode_rows(topic, doc.get("Rows", []))
+            page = self._decode_rows(topic, doc.Rows)
             rows.update((row.key, row) for row in page)
             # Later pages may contain later writes. Changes are followed from the version of the
             # first page, so that none is missed.
-            version = version or self._version(doc["RowVersion"])
-            if not doc.get("HasMore") or not page:
+            version = version or self._version(doc.RowVersion)
+            if not doc.HasMore or not page:
                 return Change(topic, tuple(rows.values()), version, whole=True)
             start_key = page[-1].key + "\0"
 
@@ -115,8 +154,8 @@
         if restore_count(after) != self._restores:
             # The store counted from a version that it has given out again since.
             raise HistoryLost
-        version = max(after, self._version(doc["RowVersion"]))
-        rows = self._decode_rows(topic, doc.get("Rows", []))
+        version = max(after, self._version(doc.RowVersion))
+        rows = self._decode_rows(topic, doc.Rows)
         return Change(topic, tuple(rows), version, whole=False)
 
     async def commit(self, checks: dict[str, int], writes: Sequence[tuple[str, bytes]]) -> Commit:
@@ -144,19 +183,19 @@
         if self._restores != restores:
             raise StoreRestored
         if answer.status == CONDITION_FAILED_STATUS:
-            doc = _decode_object(answer)
-            rows = self._decode_rows(Topic.OWN, doc.get("Rows", []))
-            return Commit(False, 0, {row.key: row for row in rows}, _time_ms(doc))
+            conflict = _CONFLICT_DECODER.decode(answer.body)
+            rows = self._decode_rows(Topic.OWN, conflict.Rows)
+            return Commit(False, 0, {row.key: row for row in rows}, int(conflict.TimeMs))
         if answer.status != OK_STATUS:
             raise PlatformOutcomeUnknown(f"commit: status {answer.status}")
-        doc = _decode_object(answer)
-        version = self._version(doc["RowVersion"])
+        done = _ANSWER_DECODER.decode(answer.body)
+        version = self._version(done.RowVersion)
         self._own_versions.update((key, version) for key, _ in writes)
-        return Commit(True, version, time_ms=_time_ms(doc))
+        return Commit(True, version, time_ms=int(done.TimeMs))
 
-    def _version(self, store_version: Any) -> int:
+    def _version(self, store_version: int) -> int:
         """Return the version for one that the store gave out since its last restore."""
-        return self._restores << RESTORE_SHIFT | int(store_version)
+        return self._restores << RESTORE_SHIFT | store_version
 
     def _is_current(self, key: str, version: int) -> bool:
         """Return whether a row's version is one that the store has had since its last restore."""
@@ -166,14 +205,13 @@
             or self._own_versions.get(key) == version
         )
 
-    def _decode_rows(self, topic: Topic, items: Any) -> list[Row]:
+    def _decode_rows(self, topic: Topic, items: list[_StoredRow]) -> list[Row]:
         rows = []
         for item in items:
-            if item.get("part"):
+            if item.part:
                 continue
-            key, version = str(item["Key"]), self._version(item.get("RowVersion", 0))
-            gone = bool(item.get("IsGone"))
-            value = None if gone else base64.b64decode(item.get("Value") or "")
+            key, version = item.Key, self._version(item.RowVersion)
+            value = None if item.IsGone else _decode_base64(topic, item)
             if topic is Topic.OWN and value is None:
                 # The router does not remove its rows.
                 version = 0
@@ -190,7 +228,7 @@
         :raises ExchangeError: If the store was restored after it gave the answer.
         """
         value = answer.header(_ERA_HEADER) or b""
-        restores = int(value) if value.isdigit() else self._restores
+        restores = int(value) if _RESTORES.fullmatch(value) else self._restores
         if restores < self._restores:
             raise ExchangeError("the store was restored after its answer", sent=True)
         if restores > self._restores:
@@ -200,17 +238,16 @@
             self._own_versions.clear()
         self._restores_known = self._restores_known or bool(value) or answer.status == OK_STATUS
 
-    async def _read_call(self, path: str, query: dict[str, Any], wait: float) -> dict[str, Any]:
+    async def _read_call(self, path: str, query: dict[str, Any], wait: float) -> _Answer:
         try:
             answer = await self._call("GET", f"{path}?{urlencode(query)}", b"", wait)
         except ExchangeError as exc:
             raise PlatformUnavailable(f"{path}: {exc}") from exc
         if answer.status == HISTORY_GONE_STATUS:
             raise HistoryLost
-        doc = _decode_object(answer)
-        if answer.status != OK_STATUS or "RowVersion" not in doc:
+        if answer.status != OK_STATUS:
             raise PlatformUnavailable(f"{path}: status {answer.status}")
-        return doc
+        return _ANSWER_DECODER.decode(answer.body)
 
     async def _call(
         self, method: str, request_target: str, body: bytes, wait: float = 0.0
@@ -241,23 +278,13 @@
         raise ExchangeError(f"no answer within {CALL_TIMEOUT_SECONDS + wait} s", sent=True)
 
 
-def _decode_object(answer: HttpResponse) -> dict[str, Any]:
-    """Return the JSON object in an answer, an empty one if the answer has no body.
-
-    :raises ProtocolError: If the body is not a JSON object.
-    """
+def _decode_base64(topic: Topic, item: _StoredRow) -> bytes:
+    """Return the value of a row, an empty one if its encoding is malformed."""
     try:
-        doc = json.loads(answer.body) if answer.body else {}
+        return base64.b64decode(item.Value or "")
     except ValueError as exc:
-        raise ProtocolError(f"store sent invalid JSON: {exc}") from exc
-    if not isinstance(doc, dict):
-        raise ProtocolError("store sent JSON that is not an object")
-    return doc
-
-
-def _time_ms(doc: dict[str, Any]) -> int:
-    """Return the time of the store's steady clock in an answer, 0 if there is none."""
-    return int(doc.get("TimeMs") or 0)
+        logger.warning("row %s of topic %s is not valid base64: %s", item.Key, topic.value, exc)
+        return b""
 
 
 def _encode_value(value: bytes, restores: int) -> str:
