Log why a leader relies on the grants of an earlier term

The line of the lease now has the leader that it follows and whether the term counts as resumed, and a line at the start of assignments has the number of targets whose grants are known, and how long the longest of them lasts.

--- a/radishshunt/gateway/key_mover.py
+++ b/radishshunt/gateway/key_mover.py
@@ -123,6 +123,13 @@
         self._started_at = started_at
         self._renew_now = trio.Event()
         earlier_grants = self.grants if self._leadership.resumed else {}
+        latest_expiry = max((grants.latest_expiry for grants in earlier_grants.values()), default=0)
+        decision(
+            "grants",
+            term=self._leadership.term,
+            known_targets=len(earlier_grants),
+            held_seconds=round(max(0.0, latest_expiry - self._clock.now()), 3),
+        )
         self.grants = {}
         self.services = {}
         for key, grants in earlier_grants.items():
--- a/radishshunt/gateway/leadership.py
+++ b/radishshunt/gateway/leadership.py
@@ -271,7 +271,8 @@
                 return False
             version = row.version
         # Other hosts wait LEASE_SECONDS from a row that they saw after it was sent.
-        led_last = bool(self._last_term) and self._view.leader.term == self._last_term
+        previous = self._view.leader
+        led_last = bool(self._last_term) and previous.term == self._last_term
         undisturbed = self._view.clock.now() - self._renewed_at < LEASE_SECONDS
         self.resumed = led_last and (undisturbed or not self._store_restored)
         self._store_restored = False
@@ -282,7 +283,14 @@
         self.apply_written_rows((Row(LEADER_KEY, version, value),))
         self._renewed_at = sent_at
         self._valid_until = sent_at + LEASE_SECONDS - LEASE_MARGIN_SECONDS
-        decision("lease", term=term, version=version)
+        decision(
+            "lease",
+            term=term,
+            version=version,
+            previous_leader=previous.host,
+            previous_term=previous.term,
+            resumed=self.resumed,
+        )
         return True
 
     async def _read_leader_version(self) -> int:
