Resume a term only if its grants were recorded

Cause: a host that leads again relies on the grants that it recorded, if no other host has led since its last term. The last term was the one that it had acquired last, also if it ended before the rows were read. A host that led, was followed by another leader, acquired the lease, lost the store at once and acquired the lease again, took its grants of before the other leader for the latest ones. They had ended, so that it gave the keys away while the targets still held them by the other leader's renewals.

Change: a term counts once the key mover has recorded all grants in it. A term that resumes another one keeps the record complete, even if it ends at once. The former leader is the one whose row the write replaces.

Why the search over interleavings did not find it: its hosts were killed every 5 to 20 s, so that they forgot their earlier terms, the store was away for all hosts at once, so that no other could lead, targets restarted all the time, which ends their grants, and faults came at random times, while the window is the 4 ms between the acquisition and the read of the rows. The new simulation lets two hosts lead by turns and places the faults at the steps of a takeover.

--- a/radishshunt/gateway/key_mover.py
+++ b/radishshunt/gateway/key_mover.py
@@ -162,6 +162,7 @@
                 self._record_earlier_grant(key_range, name, unknown_grants_expiry)
             if keys.key_map.ranges and not self._leadership.store_has_key_map(name):
                 nursery.start_soon(self._rewrite_key_map, name, keys)
+        self._leadership.mark_grants_recorded()
 
     def _assign_known_owners(self, service: str, keys: ServiceKeys) -> None:
         """Assign keys that nobody holds to their owners in an older key map, with new tokens."""
--- a/radishshunt/gateway/leadership.py
+++ b/radishshunt/gateway/leadership.py
@@ -62,7 +62,7 @@
     """Acquires, renews and releases the leader lease of this host.
 
     :ivar term: Random identifier of this host's term; empty while it does not lead.
-    :ivar resumed: Whether no other host has led since this host's last term.
+    :ivar resumed: Whether no other host has led since this host last recorded all grants.
     :ivar acquired_ms: Time of the store's clock at the start of the term.
     :ivar stored_versions: Version of each row in the store at the start of the term, by key.
     :ivar key_maps_uncertain: Whether the store was restored after the known key maps were written,
@@ -80,7 +80,8 @@
         self.stored_versions: dict[str, int] = {}
         self.key_maps_uncertain = False
         self.only_copy_known = False
-        self._last_term = ""
+        # Own term until whose end this host's record of grants is complete; empty if there is none.
+        self._recorded_term = ""
         self._cfg = cfg
         self._view = view
         self._store = store
@@ -89,8 +90,8 @@
         # Time at which the last successful acquisition or renewal was sent.
         self._renewed_at = float("-inf")
         self._version = 0
-        # Whether the row of the leader has to be read again after a restore. Grants of this
-        # host's last term are then known to be the latest ones only within LEASE_SECONDS.
+        # Whether the row of the leader has to be read again after a restore. The grants that this
+        # host has recorded are then known to be the latest ones only within LEASE_SECONDS.
         self._store_restored = False
         # Whether the rows were read in this term, so that the view includes every earlier write.
         self._rows_read = False
@@ -162,6 +163,13 @@
                 logger.info("reading the rows at the start of the term failed: %s", exc)
                 await trio.sleep(RETRY_DELAY_SECONDS)
 
+    def mark_grants_recorded(self) -> None:
+        """Record that this host knows all grants that a target may hold keys by.
+
+        A term that ends earlier says nothing about the grants of the leaders before it.
+        """
+        self._recorded_term = self.term
+
     async def commit(self, checks: dict[str, int], writes: list[tuple[str, bytes]]) -> Commit:
         """Write rows under the lease.
 
@@ -241,9 +249,9 @@
 
     async def _acquire(self) -> bool:
         term = uuid4().hex
-        known = self._view.leader.version
+        previous = self._view.leader
         expected = await self._read_leader_version()
-        if self._view.leader.version != known:
+        if self._view.leader.version != previous.version:
             # Another host has led meanwhile.
             return False
         sent_at = self._view.clock.now()
@@ -265,18 +273,19 @@
                 )
                 if row is not None:
                     self._view.apply(Change(Topic.OWN, (row,), 0, whole=False))
-                if self._view.leader.version == known:
+                if self._view.leader.version == previous.version:
                     # The store has a row that counts as older than the known one.
                     self._store_restored = True
                 return False
             version = row.version
         # Other hosts wait LEASE_SECONDS from a row that they saw after it was sent.
-        previous = self._view.leader
-        led_last = bool(self._last_term) and previous.term == self._last_term
+        led_last = bool(self._recorded_term) and previous.term == self._recorded_term
         undisturbed = self._view.clock.now() - self._renewed_at < LEASE_SECONDS
         self.resumed = led_last and (undisturbed or not self._store_restored)
+        # A term that resumes another one keeps its record complete, even if it ends at once.
+        self._recorded_term = term if self.resumed else ""
         self._store_restored = False
-        self.term = self._last_term = term
+        self.term = term
         self.acquired_ms = result.time_ms
         self._version = version
         self._rows_read = False
--- a/tests/support/grant_simulation.py
+++ b/tests/support/grant_simulation.py
@@ -188,8 +188,11 @@
 
     :ivar errors: Descriptions of keys that two targets held at the same time.
     :ivar faults: Whether commands and writes fail now.
+    :cvar fault_seconds: Time for which commands and writes fail.
     """
 
+    fault_seconds = FAULT_SECONDS
+
     def __init__(self, cfg: HostSettings, seed: int, target_count: int = 4) -> None:
         self.rng = Random(seed)
         self.errors: list[str] = []
@@ -228,7 +231,7 @@
             await trio.sleep(4.0)
             self.faults = True
             nursery.start_soon(self._cause_faults)
-            await trio.sleep(FAULT_SECONDS)
+            await trio.sleep(self.fault_seconds)
             self.faults, self.store_down = False, False
             self._unreachable.clear()
             await trio.sleep(CALM_SECONDS)
@@ -316,24 +319,33 @@
             rows = tuple(row for row in self._rows.values() if row.value is not None)
             view.apply(Change(Topic.TARGETS, rows, self._version, whole=True))
             self._views.append(view)
-            leadership = Leadership(cfg, view, self._store, Random(self.rng.random()))
+            store = self._store_of(cfg)
+            leadership = Leadership(cfg, view, store, Random(self.rng.random()))
             statistics = ReportedLoadStatistics(clock)
             coordinator = Coordinator(
                 cfg, view, leadership, HttpTargetProtocol(), statistics, clock
             )
-            with trio.move_on_after(self.rng.uniform(5.0, 20.0)):
+            with trio.move_on_after(self._lifetime_seconds()):
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._follow_store, view, leadership)
+                    nursery.start_soon(self._follow_store, view, leadership, store)
                     nursery.start_soon(self._report_load, statistics)
                     nursery.start_soon(coordinator.run)
             self._views.remove(view)
             await trio.sleep(self.rng.uniform(0.1, 1.5))
 
-    async def _follow_store(self, view: View, leadership: Leadership) -> None:
+    def _store_of(self, _cfg: HostSettings) -> RowStore:
+        """Return the store as a host sees it."""
+        return self._store
+
+    def _lifetime_seconds(self) -> float:
+        """Return the time after which a host is killed."""
+        return self.rng.uniform(5.0, 20.0)
+
+    async def _follow_store(self, view: View, leadership: Leadership, store: RowStore) -> None:
         while True:
             if not leadership.valid:
                 with suppress(PlatformUnavailable):
-                    view.apply(await self._store.read(Topic.OWN))
+                    view.apply(await store.read(Topic.OWN))
                     view.record_store_answer()
             await trio.sleep(0.15)
 
--- a/tests/test_gateway/conftest.py
+++ b/tests/test_gateway/conftest.py
@@ -139,6 +139,7 @@
     :ivar unanswered: Paths whose commands take effect but are not answered.
     :ivar refuses_grants: Whether targets refuse grants, but not because of their tokens.
     :ivar registrations: Registration of the process at each address.
+    :ivar unreachable: Addresses at which no command arrives.
     """
 
     commands: list[tuple[str, str, dict]] = field(default_factory=list)
@@ -149,6 +150,7 @@
     unanswered: set[str] = field(default_factory=set)
     refuses_grants: bool = False
     registrations: dict[str, str] = field(default_factory=dict)
+    unreachable: set[str] = field(default_factory=set)
 
     def fences(self, suffix: str) -> list[int]:
         """Return the fencing tokens of all commands whose path has this suffix."""
@@ -197,6 +199,8 @@
         self, req: OutgoingRequest, *, repeatable: bool, on_send: object = None
     ) -> HttpResponse:
         fake_targets = self.fake_targets
+        if self._address in fake_targets.unreachable:
+            await trio.sleep_forever()
         if not self._connected and self._verify is not None:
             await self._verify(_FakeConnection(fake_targets.registrations.get(self._address, "")))
             self._connected = True
--- a/tests/test_gateway/test_gateway_grant_interleavings.py
+++ b/tests/test_gateway/test_gateway_grant_interleavings.py
@@ -10,6 +10,7 @@
 from radishshunt.gateway import target_grants
 from tests.support.grant_simulation import GrantSimulation
 from tests.support.link_simulation import LinkSimulation
+from tests.support.takeover_simulation import TakeoverSimulation
 
 if TYPE_CHECKING:
     from radishshunt.gateway.settings import HostSettings
@@ -51,3 +52,18 @@
     simulation.install(monkeypatch)
     await simulation.run()
     assert simulation.errors == []
+
+
+# Most of these seeds gave keys two owners while a term that had recorded no grants counted as one
+# that a host may resume. Which of them did depends on the hashes of texts in a process.
+@pytest.mark.parametrize("seed", [2, 4, 8, 14, 21, 26, 34, 48, 63, 70, 91, 99])
+async def test_no_takeover_by_a_former_leader_gives_a_key_two_owners(
+    autojump_clock: object, monkeypatch: pytest.MonkeyPatch, cfg: HostSettings, seed: int
+) -> None:
+    """Guards against a leader that forgets the grants of the one before it."""
+    monkeypatch.setattr(trio_run, "_ALLOW_DETERMINISTIC_SCHEDULING", True)
+    trio_run._r.seed(seed)
+    simulation = TakeoverSimulation(cfg, seed)
+    monkeypatch.setattr(target_grants, "TargetPool", simulation.pool_class)
+    await simulation.run()
+    assert simulation.errors == []
