Wait for unknown grants to the end, also in a resumed term

Callers would have seen two targets run requests for the same keys (OWNER), if the store was restored from a copy without a key map, and the first leader after that lost its lease within some seconds and acquired it again.

Cause: the keys of a service without a key map may be held by grants of before the restore, so that the first term waits until these must have ended. A term that resumed it did not wait at all, although resuming only tells that nobody has granted keys since.

Evidence: the new test failed on the commit before (keys were granted within MAX_GRANT_LIFETIME_SECONDS of the first term) and passes now.

Change: the time until which unknown grants may last is kept from the last term that does not resume another one.

Looked at besides, without a finding: uncertain key maps and those of which only a copy is known (judged again unless the term resumes a recorded one, and unread terms are not recorded any more), pending releases (fencing tokens of a term start above all earlier ones; durations stay in the latest expiry of the target), load statistics (decay, and decide on no grant), suspects and losses (not bound to terms), shares of routes (of one host alone).

--- a/radishshunt/gateway/key_mover.py
+++ b/radishshunt/gateway/key_mover.py
@@ -74,6 +74,9 @@
         self._clock = clock
         self._nursery: trio.Nursery | None = None
         self._started_at = 0.0
+        # Time until which targets may hold keys by key maps that the store has lost. A term that
+        # resumes another one has to wait no longer than that one, but as long.
+        self._lost_grants_expiry = float("-inf")
         # Set to renew all grants at once, replaced by a new event afterwards.
         self._renew_now = trio.Event()
 
@@ -98,11 +101,7 @@
     def may_assign(self) -> bool:
         """Whether no target can hold keys for which no key map is known."""
         restored = restore_count(self._view.versions[Topic.OWN]) > 1
-        return (
-            not restored
-            or self._leadership.resumed
-            or self._clock.now() >= self._unknown_grants_expiry()
-        )
+        return not restored or self._clock.now() >= self._lost_grants_expiry
 
     def may_move(self, key_range: KeyRange) -> bool:
         """Return whether the owner of a range is known for certain."""
@@ -139,6 +138,8 @@
             nursery.start_soon(self._renew_grants, grants)
         nursery.start_soon(self._watch_lease_expiry)
         unknown_grants_expiry = self._unknown_grants_expiry()
+        if not self._leadership.resumed:
+            self._lost_grants_expiry = unknown_grants_expiry
         for name, index in self._view.key_maps.items():
             parts = len(index.parts) if len(index.parts) > 1 else 0
             version = self._leadership.stored_versions.get(KEY_MAP_PREFIX + name, 0)
--- a/tests/test_gateway/test_gateway_repeated_terms.py
+++ b/tests/test_gateway/test_gateway_repeated_terms.py
@@ -12,8 +12,12 @@
 from radishshunt.gateway.leader_row import LEADER_KEY, Leader, decode_leader, encode_leader
 from radishshunt.gateway.leadership import LEASE_SECONDS, Leadership
 from radishshunt.gateway.load_statistics import ReportedLoadStatistics
-from radishshunt.gateway.rows import Topic
-from radishshunt.gateway.target_grants import CLOCK_DRIFT_FACTOR, OUTAGE_GRANT_SECONDS
+from radishshunt.gateway.rows import RESTORE_SHIFT, Change, Row, Topic
+from radishshunt.gateway.target_grants import (
+    CLOCK_DRIFT_FACTOR,
+    MAX_GRANT_LIFETIME_SECONDS,
+    OUTAGE_GRANT_SECONDS,
+)
 from radishshunt.platform.target_protocol import HttpTargetProtocol
 from tests.test_gateway.conftest import CONFIGURATION, apply_row, entry_value
 
@@ -117,3 +121,32 @@
         await trio.sleep(8.0)
         assert fake_targets.held_ranges(SECOND_ADDRESS) == [(0, 65535)]
         nursery.cancel_scope.cancel()
+
+
+async def test_term_that_resumes_a_short_one_does_not_assign_keys_of_a_lost_key_map_early(
+    autojump_clock: object,
+    view: View,
+    store: MemoryStore,
+    leadership: Leadership,
+    coordinator: Coordinator,
+    fake_targets: FakeTargets,
+) -> None:
+    """Guards against two owners if the first term after a restore ends before unknown grants."""
+    row = Row(LEADER_KEY, 1 << RESTORE_SHIFT | 20, encode_leader(OTHER_LEADER))
+    view.apply(Change(Topic.OWN, (row,), 2 << RESTORE_SHIFT | 40, whole=True))
+    store.rows, store.version = {LEADER_KEY: row}, 2 << RESTORE_SHIFT | 50
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow_store, view, leadership, store)
+        nursery.start_soon(coordinator.run)
+        first_term = await _wait_for_term(store, "")
+        started_at = trio.current_time()
+        await trio.sleep(0.5)
+        store.down = True
+        await trio.sleep(LEASE_SECONDS)
+        store.down = False
+        await _wait_for_term(store, first_term)
+        await trio.sleep(started_at + MAX_GRANT_LIFETIME_SECONDS - trio.current_time())
+        assert fake_targets.commands == []
+        await trio.sleep(6.0)
+        assert fake_targets.commands != []
+        nursery.cancel_scope.cancel()
