Keep the settings while their file cannot be read

Cause: bytes that are no UTF-8 raised UnicodeDecodeError at a reload, which only expected SettingsError and OSError, and the exception ended the process with all its requests. A file that was absent when the check of its content began raised OSError there. A process that started while the file was replaced exited with status 1. RowBytes=inf raised OverflowError.

Change: SettingsFile reports whatever is wrong with the file as SettingsError. A reload keeps the settings in force, as it did for other problems. Numbers have an upper bound. The check compares with the content that was read last, so that a change between the start and the first check is not missed.

--- a/radishshunt/platform/settings_file.py
+++ b/radishshunt/platform/settings_file.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
@@ -13,11 +14,14 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+logger = logging.getLogger(__name__)
+
 Address = Annotated[str, msgspec.Meta(pattern=r"^[^:]+:\d{1,5}$")]
 PortRange = Annotated[str, msgspec.Meta(pattern=r"^\d{1,5},\d{1,5}$")]
 NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
-PositiveNumber = Annotated[float, msgspec.Meta(gt=0)]
-NonNegativeNumber = Annotated[float, msgspec.Meta(ge=0)]
+MAX_NUMBER = 1e12
+PositiveNumber = Annotated[float, msgspec.Meta(gt=0, le=MAX_NUMBER)]
+NonNegativeNumber = Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
 # Offset of the metrics port from the first port of the range, which other hosts connect to.
 METRICS_PORT_OFFSET = 1
 
@@ -55,12 +59,40 @@
 }
 
 
-def load_host_settings(path: Path) -> HostSettings:
-    """Read a host's settings.
+class SettingsFile:
+    """The settings file, which the platform may replace at any time.
 
-    :raises SettingsError: With one line for each problem.
+    It may be absent or incomplete for a moment.
     """
-    return parse_host_settings(path.read_text("utf-8"), str(path))
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+        # Content that was last read, whether or not it was valid; ``None`` if it was unreadable.
+        self._content: bytes | None = None
+
+    def load(self) -> HostSettings:
+        """Read the settings.
+
+        :raises SettingsError: With one line for each problem.
+        """
+        self._content = None
+        try:
+            self._content = self._path.read_bytes()
+            text = self._content.decode("utf-8")
+        except (OSError, UnicodeDecodeError) as exc:
+            raise SettingsError([f"{self._path}: {exc}"]) from exc
+        return parse_host_settings(text, str(self._path))
+
+    def has_changed(self) -> bool:
+        """Return whether the content differs from the one that was last read.
+
+        An unreadable file has not changed yet.
+        """
+        try:
+            return self._path.read_bytes() != self._content
+        except OSError as exc:
+            logger.warning("reading the settings file failed: %s", exc)
+            return False
 
 
 def parse_host_settings(text: str, source: str) -> HostSettings:
--- a/tests/test_platform/test_platform_settings_file.py
+++ b/tests/test_platform/test_platform_settings_file.py
@@ -2,11 +2,25 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from radishshunt.errors import SettingsError
 from radishshunt.platform.settings_file import parse_host_settings
 
+NAMES = [
+    "Self.Limits.Cores",
+    "Network.PortRange",
+    "Network.Seeds",
+    "Platform.HeartbeatMs",
+    "Platform.Platform.RowBytes",
+    "Terms.Bounds.GraceS",
+    "Terms.Bounds.RetryRatio",
+]
+
 TEXT = """\
 Grants=direct
 Self.NodeId=edge-1
@@ -49,3 +63,25 @@
     with pytest.raises(SettingsError) as exc_info:
         parse_host_settings(text, "settings.conf")
     assert any("Platform.Platform" in p for p in exc_info.value.problems)
+
+
+@pytest.mark.parametrize("value", ["inf", "nan", "1e400", "9" * 5000, "-1", "0"])
+@pytest.mark.parametrize("name", ["Platform.Platform.RowBytes", "Terms.Bounds.GraceS"])
+def test_number_out_of_range_is_a_problem(name: str, value: str) -> None:
+    """Guards against a reload that ends the host, or a stop that never ends."""
+    with pytest.raises(SettingsError):
+        parse_host_settings(f"{TEXT}{name}={value}\n", "settings.conf")
+
+
+@given(st.text())
+def test_any_text_is_a_value_or_a_settings_error(text: str) -> None:
+    """Guards against settings that end a host with an unexpected exception."""
+    with suppress(SettingsError):
+        parse_host_settings(TEXT + text, "settings.conf")
+
+
+@given(st.sampled_from(NAMES), st.text() | st.integers().map(str) | st.floats().map(str))
+def test_any_value_is_accepted_or_a_settings_error(name: str, value: str) -> None:
+    """Guards against a value that ends a host with an unexpected exception."""
+    with suppress(SettingsError):
+        parse_host_settings(f"{TEXT}{name}={value}\n", "settings.conf")
