Let SIGHUP end no process that starts or stops

Cause: the handler was set once the host ran, some tenths of a second after the start, so that SIGHUP had its default action until then. At the end of a stop there was another way: a SIGHUP that comes during the stop is not read any more, and trio raises unread signals again after it has put the former handlers back.

Change: the process ignores SIGHUP from its first line on, before the other modules are imported, and again after trio's receiver is closed. Once signals are received, the host reads the settings again if they have changed since the start.

--- a/radishshunt/platform/serve.py
+++ b/radishshunt/platform/serve.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import signal
+
+if __name__ == "__main__":
+    # The default action would end the process. The platform may signal a process that has just been
+    # started, while the other modules are still being imported, or one that is about to exit.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import logging
 import os
-import signal
 import sys
 import time
 from pathlib import Path
@@ -75,6 +81,9 @@
     host: GatewayHost, settings_file: SettingsFile, scope: trio.CancelScope
 ) -> None:
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        if settings_file.has_changed():
+            # A SIGHUP during the start had no effect.
+            _reload(host, settings_file)
         async for signal_number in signals:
             if signal_number == signal.SIGHUP:
                 _reload(host, settings_file)
--- a/tests/test_platform/test_platform_process.py
+++ b/tests/test_platform/test_platform_process.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import pytest
@@ -15,7 +16,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Iterator
-    from pathlib import Path
 
 START_SECONDS = 20.0
 STOP_SECONDS = 10.0
@@ -60,6 +60,19 @@
         assert self.process is not None
         self.process.send_signal(number)
 
+    def ignores(self, number: signal.Signals) -> bool:
+        """Return whether the process ignores a signal."""
+        assert self.process is not None
+        assert self.status is None, f"the process ended with status {self.status}"
+        lines = Path(f"/proc/{self.process.pid}/status").read_text("ascii").splitlines()
+        mask = next(line.split()[1] for line in lines if line.startswith("SigIgn:"))
+        return bool(int(mask, 16) >> number - 1 & 1)
+
+    def has_loaded(self, library: str) -> bool:
+        """Return whether the process has loaded a compiled library."""
+        assert self.process is not None
+        return library in Path(f"/proc/{self.process.pid}/maps").read_text("utf-8")
+
     @property
     def status(self) -> int | None:
         """Exit status of the process, ``None`` while it runs."""
@@ -149,3 +162,31 @@
     host.settings.unlink()
     host.start()
     assert await host.wait_for_end() == 1
+
+
+async def test_signal_during_the_start_does_not_end_the_host(host: HostProcess) -> None:
+    """Guards against a process that SIGHUP ends, as its settings change while it starts."""
+    host.start()
+    with trio.fail_after(START_SECONDS):
+        # The interpreter itself takes some time until it runs the first line of the host.
+        while not (host.ignores(signal.SIGHUP) or host.has_loaded("msgspec")):
+            await trio.sleep(0.001)
+    host.settings.write_text(host.text.replace("GraceS=4", "GraceS=3"), "utf-8")
+    with trio.move_on_after(1.0):
+        while True:
+            host.send_signal(signal.SIGHUP)
+            await trio.sleep(0.01)
+    await host.wait_until_serving()
+
+
+async def test_signal_while_the_host_stops_does_not_end_it(host: HostProcess) -> None:
+    """Guards against a stop that ends by SIGHUP, as the settings change meanwhile."""
+    host.start()
+    await host.wait_until_serving()
+    await trio.sleep(0.5)
+    host.send_signal(signal.SIGTERM)
+    with trio.fail_after(STOP_SECONDS):
+        while host.status is None:
+            host.send_signal(signal.SIGHUP)
+            await trio.sleep(0.01)
+    assert host.status == 0
