Use no address or id that no request can be sent to

Cause: an entry with a well-formed text as its address was taken for a target, whatever the text was. "10.0..7:80", a label of 300 characters or a NUL made the connection attempt raise UnicodeError or ValueError instead of OSError, and a host name was even looked up. An id with a line break made the request invalid, which raised LocalProtocolError, or added a header to it.

Change: parse_address is the one place that reads an address. Entries need an IPv4 address with a port, and an id that a header can carry. connect() takes the address as a text and reports an unusable one like a refused connection, also for key maps, the leader's row and messages of other hosts. A request that is no valid HTTP is a failed exchange that was not sent.

--- a/radishshunt/gateway/crash_checks.py
+++ b/radishshunt/gateway/crash_checks.py
@@ -219,9 +219,8 @@
 
     async def _ask(self, check: _Check) -> TargetFate:
         """Ask for the process at a target's address."""
-        ip, _, port = check.entry.address.rpartition(":")
         try:
-            stream = await connect(ip, int(port), CHECK_TIMEOUT_SECONDS)
+            stream = await connect(check.entry.address, CHECK_TIMEOUT_SECONDS)
         except ConnectTimeout:
             return TargetFate.UNKNOWN
         except ConnectFailed:
--- a/radishshunt/gateway/exchange.py
+++ b/radishshunt/gateway/exchange.py
@@ -125,7 +125,10 @@
         :raises ExchangeError: If there is no complete response.
         """
         self.reusable = False
-        data = self._encode(self._http, req)
+        try:
+            data = self._encode(self._http, req)
+        except h11.LocalProtocolError as exc:
+            raise ExchangeError(f"request cannot be sent: {exc}", sent=False) from exc
         if on_send is not None:
             on_send()
         try:
--- a/radishshunt/gateway/link_client.py
+++ b/radishshunt/gateway/link_client.py
@@ -160,8 +160,7 @@
             logger.info("link to host %s closed: %r", address, group.exceptions[0])
 
     async def _connect(self, address: str, *, follow: bool) -> None:
-        ip, _, port = address.rpartition(":")
-        stream = await connect(ip, int(port), CONNECT_TIMEOUT_SECONDS)
+        stream = await connect(address, CONNECT_TIMEOUT_SECONDS)
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._send_reports, stream, follow)
@@ -201,9 +200,8 @@
             if trio.current_time() - checked_at < LEADER_CHECK_SECONDS or not leader:
                 continue
             checked_at = trio.current_time()
-            ip, _, port = leader.rpartition(":")
             try:
-                stream = await connect(ip, int(port), CONNECT_TIMEOUT_SECONDS)
+                stream = await connect(leader, CONNECT_TIMEOUT_SECONDS)
             except ConnectFailed:
                 continue
             stream.socket.close()
--- a/radishshunt/gateway/target_pool.py
+++ b/radishshunt/gateway/target_pool.py
@@ -36,9 +36,7 @@
         self, address: str, verify: Callable[[Connection], Awaitable[None]] | None = None
     ) -> None:
         self._verify = verify
-        ip, _, port = address.rpartition(":")
-        self._ip = ip
-        self._port = int(port)
+        self._address = address
         self._idle_connections: list[Connection] = []
         self.opened = 0
 
@@ -113,7 +111,7 @@
 
     async def _connect(self, seconds: float) -> Connection:
         try:
-            stream = await connect(self._ip, self._port, seconds)
+            stream = await connect(self._address, seconds)
         except ConnectFailed as exc:
             raise ExchangeError(str(exc), sent=False) from exc
         self.opened += 1
--- a/radishshunt/platform/catalog.py
+++ b/radishshunt/platform/catalog.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -19,6 +20,7 @@
 from radishshunt.gateway.rows import RowReader
 from radishshunt.platform.names import CONFIGURATION_KEY, EVACUATION_PREFIX
 from radishshunt.util.json_decoder import JsonDecoder, convert
+from radishshunt.util.streams import parse_address
 
 _KINDS = {
     "idempotent": RequestKind.IDEMPOTENT,
@@ -28,6 +30,8 @@
 }
 # Attempts for a request if its route sets no limit; the second one may use another target.
 DEFAULT_ATTEMPTS = 2
+# Ids of targets stand in a header of each request to them.
+_ID = re.compile(r"[!-~]+")
 NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
 NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0)]
 NonNegativeNumber = Annotated[float, msgspec.Meta(ge=0)]
@@ -135,18 +139,21 @@
     """Decode the entry of a target in a row.
 
     :param key: Key of the row, which is the target's id.
-    :raises ProtocolError: If the entry is malformed or its address is invalid.
+    :raises ProtocolError: If the entry is malformed, or no request can be sent with its id or to
+        its address.
     """
     try:
         entry = _ENTRY_DECODER.decode(value)
-        _check_address(entry.Addr)
+        ip, port = parse_address(entry.Addr)
+        if not _ID.fullmatch(key):
+            raise ProtocolError("invalid id")
     except ProtocolError as exc:
         raise ProtocolError(f"target entry {key}: {exc}") from exc
     return TargetEntry(
         id=key,
         incarnation=entry.born or 0,
         service=entry.Info.Service,
-        address=entry.Addr,
+        address=f"{ip}:{port}",
         domain=entry.Info.Zone,
         slots=entry.Info.Capacity,
         draining=entry.Status.State == "draining",
@@ -171,16 +178,6 @@
         return decode_target(key, value)
 
 
-def _check_address(address: str) -> None:
-    """Check the address of a target.
-
-    :raises ProtocolError: If it is not of the form ``ip:port``.
-    """
-    ip, _, port = address.rpartition(":")
-    if not ip or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ProtocolError(f"invalid address {address}")
-
-
 def _route(name: str, spec: _Route) -> Route:
     if spec.Split:
         shares = tuple(Share(part.Service, part.Weight) for part in spec.Split)
--- a/tests/support/crash_simulation.py
+++ b/tests/support/crash_simulation.py
@@ -102,9 +102,9 @@
     def _additional_tasks(self, host: GatewayHost) -> Sequence[Callable[[], Awaitable[None]]]:
         return (host.sender.confirm_crashes, host.sender.watch_silence)
 
-    async def _connect_target(self, ip: str, port: int, timeout_seconds: float) -> Stream:
+    async def _connect_target(self, address: str, timeout_seconds: float) -> Stream:
         assert self.fleet is not None
-        return await self.fleet.connect(ip, port, timeout_seconds)
+        return await self.fleet.connect(address, timeout_seconds)
 
     async def _send_harmless(self) -> None:
         while True:
--- a/tests/support/link_simulation.py
+++ b/tests/support/link_simulation.py
@@ -236,15 +236,15 @@
             return self.rng.uniform(0.0, 1.2)
         return LINK_SECONDS
 
-    async def connect(self, ip: str, port: int, timeout_seconds: float) -> _LinkStream:
+    async def connect(self, address: str, timeout_seconds: float) -> _LinkStream:
         """Open a link to a host."""
         await trio.sleep(LINK_SECONDS)
-        server, nursery = self._servers.get(f"{ip}:{port}", (None, None))
+        server, nursery = self._servers.get(address, (None, None))
         if server is None or nursery is None:
-            raise ConnectFailed(f"{ip}:{port}: connection refused")
+            raise ConnectFailed(f"{address}: connection refused")
         client_end, server_end = trio.testing.memory_stream_pair()
-        nursery.start_soon(server._serve, _LinkStream(server_end, self, f"{ip}:{port}"))
-        return _LinkStream(client_end, self, f"{ip}:{port}")
+        nursery.start_soon(server._serve, _LinkStream(server_end, self, address))
+        return _LinkStream(client_end, self, address)
 
     async def run(self) -> None:
         """Run hosts under faults, then without."""
--- a/tests/support/target_fleet.py
+++ b/tests/support/target_fleet.py
@@ -101,9 +101,9 @@
         """Write the entry of a target's process."""
         raise NotImplementedError
 
-    async def connect(self, ip: str, port: int, timeout_seconds: float) -> Stream:
+    async def connect(self, address: str, timeout_seconds: float) -> Stream:
         """Open a connection to a target."""
-        target = self.targets[int(ip.rpartition(".")[2]) - 1]
+        target = self.targets[int(address.partition(":")[0].rpartition(".")[2]) - 1]
         if target.silent:
             await trio.sleep(timeout_seconds)
             raise ConnectTimeout("no answer")
--- a/tests/test_gateway/conftest.py
+++ b/tests/test_gateway/conftest.py
@@ -189,7 +189,7 @@
     fake_targets: FakeTargets
 
     def __init__(self, address: str, verify: object = None) -> None:
-        # Like the real one, it accepts no address without a port.
+        # Nothing can be sent to an owner whose address is not known.
         int(address.rpartition(":")[2])
         self._address = address
         self._verify = verify
--- a/tests/test_gateway/test_gateway_exchange.py
+++ b/tests/test_gateway/test_gateway_exchange.py
@@ -252,3 +252,15 @@
     conn, response = await _run_exchange(target, _request())
     assert response.body == body
     assert conn.reusable
+
+
+async def test_request_that_cannot_be_sent_is_a_failed_exchange() -> None:
+    """Guards against an exception that ends the leader, if a path or a header is not valid HTTP."""
+
+    async def target(stream: trio.SocketStream) -> None:
+        await stream.receive_some()
+
+    conn, result = await _run_exchange(target, replace(_request(), target=b"/a b"))
+    assert isinstance(result, ExchangeError)
+    assert not result.sent
+    assert not conn.reusable
--- a/tests/test_gateway/test_gateway_target_grants.py
+++ b/tests/test_gateway/test_gateway_target_grants.py
@@ -196,3 +196,21 @@
     assert granted_range is not None
     release = await grants.release(granted_range, lambda: 6)
     assert release.done
+
+
+@pytest.mark.parametrize("address", ["10.0..7:80", "a" * 300 + ":80", "127.0.0.1", "x:y"])
+async def test_owner_whose_address_is_unusable_does_not_end_the_leader(
+    autojump_clock: object, address: str
+) -> None:
+    """Guards against a leader that fails again and again because of one address in a key map."""
+    entry = TargetEntry("i-1", 1, "register", address, "munich", 3, False, 0.0)
+    clock = TrioClock()
+    grants = TargetGrants(entry, HttpTargetProtocol(), clock, lambda: True, "/healthz")
+    keys = KeyRange(0, 9, "i-1", 1, 5, address)
+    assert not await grants.grant(keys, 1.0, "")
+    await grants.renew(1.0)
+    await grants.check_reachable()
+    granted = grants.stop_renewing(0, 9)
+    assert granted is not None
+    assert not (await grants.release(granted, lambda: 6)).done
+    grants.close()
--- a/tests/test_platform/test_platform_catalog.py
+++ b/tests/test_platform/test_platform_catalog.py
@@ -27,6 +27,13 @@
         ("Addr", 5),
         ("Addr", "nowhere"),
         ("Addr", "127.0.0.1:99999"),
+        ("Addr", "10.0..7:80"),
+        ("Addr", ".:80"),
+        ("Addr", "a" * 300 + ":80"),
+        ("Addr", "127.0.0.1\x00:80"),
+        ("Addr", "a.example:80"),
+        ("Addr", "[::1]:80"),
+        ("Addr", "127.0.0.1:\u0661"),
         ("Info.Service", ""),
         ("Info.Service", None),
         ("Info.Version", 3),
@@ -55,6 +62,13 @@
         decode_target("i-1", value)
 
 
+@pytest.mark.parametrize("key", ["", "i 1", "i-1\r\nX-Other: 1", "i-\xe9", "i\x00"])
+def test_id_that_no_header_can_carry_names_no_target(key: str) -> None:
+    """Guards against requests that cannot be sent, or carry a header of another writer."""
+    with pytest.raises(ProtocolError):
+        decode_target(key, entry_value())
+
+
 def test_unknown_fields_are_ignored() -> None:
     """Guards against an entry that is refused because of a field of a later version."""
     target = decode_target("i-1", _entry("Status.Mood", "good"))
