Ignore numbers in headers that are too long or no numbers

Callers would have seen a connection that ends without an answer, if they sent a key of more than 4,300 digits, and an error in the place of a target's answer, if its Keep-Alive header had a superscript digit or its load report negative numbers.

Cause: Python converts no text of more than 4,300 digits, str.isdigit() also accepts digits that float() does not, and a load report of -2 running and 1 waiting requests led to a division by zero.

Change: numbers in headers have at most 32 ASCII digits; others count as absent.

--- a/radishshunt/gateway/exchange.py
+++ b/radishshunt/gateway/exchange.py
@@ -270,6 +270,6 @@
     value = response.header(b"keep-alive") or b""
     for part in value.decode("latin-1").split(","):
         name, _, number = part.strip().partition("=")
-        if name.lower() == "timeout" and number.isdigit():
+        if name.lower() == "timeout" and number.isascii() and number.isdigit():
             return float(number)
     return float("inf")
--- a/radishshunt/platform/target_protocol.py
+++ b/radishshunt/platform/target_protocol.py
@@ -42,6 +42,8 @@
 )
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 MISDIRECTED_REQUEST = 421
+# Longer numbers in headers are ignored; Python does not convert those of over 4,300 digits.
+MAX_DIGITS = 32
 
 
 class HttpTargetProtocol(TargetProtocol):
@@ -54,7 +56,9 @@
         deadline = values.get(_DEADLINE_MS_HEADER, b"")
         key = values.get(_KEY_HEADER, b"")
         seconds = float(deadline) / 1000 if _is_number(deadline) else None
-        number = int(key) if key.isdigit() and int(key) <= LAST_KEY else None
+        number = _count(key)
+        if number is not None and number > LAST_KEY:
+            number = None
         return values.get(_ATTEMPT_ID_HEADER, b"").decode("latin-1"), seconds, number
 
     def build_request(self, req: CallerRequest, target_id: str, seconds: float) -> OutgoingRequest:
@@ -72,10 +76,10 @@
         value = response.header(_LOAD_HEADER)
         if value is None:
             return None
-        try:
-            running, waiting, slots, *rest = (int(part) for part in value.split(b","))
-        except ValueError:
+        numbers = [_count(part.strip()) for part in value.split(b",")]
+        if len(numbers) < 3 or None in numbers:
             return None
+        running, waiting, slots, *rest = numbers
         return LoadReport(running, waiting, max(1, slots), rest[0] / 100 if rest else 1.0)
 
     def request_limit(self, response: HttpResponse) -> float | None:
@@ -128,5 +132,12 @@
     return OutgoingRequest(b"POST", path.encode(), headers, body)
 
 
+def _count(value: bytes) -> int | None:
+    """Return a number of at most :data:`MAX_DIGITS` digits, ``None`` for anything else."""
+    return int(value) if value.isdigit() and len(value) <= MAX_DIGITS else None
+
+
 def _is_number(value: bytes) -> bool:
-    return value.replace(b".", b"", 1).isdigit()
+    """Return whether a value is a decimal number of at most :data:`MAX_DIGITS` digits."""
+    digits = value.replace(b".", b"", 1)
+    return digits.isdigit() and len(digits) <= MAX_DIGITS
