Take rows with numbers beyond 64 bits for unreadable

Callers would have seen hosts that cannot report to the leader and a leader that ends again and again, if the configuration had a version, or an entry a capacity, of more than 64 bits.

Cause: JSON has whole numbers of any size, and the decoder accepted them. They were refused only where they are used: messages between hosts have 64 bits, and Python does not divide numbers that exceed a float.

Change: whole numbers in rows have the range in which they can be used.

--- a/radishshunt/gateway/key_maps.py
+++ b/radishshunt/gateway/key_maps.py
@@ -30,22 +30,22 @@
 MAX_PARTS = 64
 
 _Key = Annotated[int, msgspec.Meta(ge=0, le=LAST_KEY)]
-_NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0)]
+_Integer = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
 class _RangeFields(msgspec.Struct, array_like=True):
     first: _Key
     last: _Key
     target: str
-    incarnation: int
-    fence: int
+    incarnation: _Integer
+    fence: _Integer
     address: str = ""
 
 
 class _IndexFields(msgspec.Struct):
     """Fields of the row that holds a whole key map or tells how it is divided."""
 
-    next_fence: int
+    next_fence: _Integer
     ranges: list[_RangeFields] = []
     # Number of parts, absent if the row holds the whole key map.
     parts: Annotated[int, msgspec.Meta(ge=1, le=MAX_PARTS)] | None = None
@@ -54,9 +54,9 @@
 
 class _PartFields(msgspec.Struct):
     # Target, incarnation and address of each owner.
-    owners: list[tuple[str, int, str]]
+    owners: list[tuple[str, _Integer, str]]
     # First key, last key, position of the owner and fencing token of each range.
-    ranges: list[tuple[_Key, _Key, _NonNegativeInteger, int]]
+    ranges: list[tuple[_Key, _Key, _Integer, _Integer]]
 
 
 _INDEX_DECODER = JsonDecoder(_IndexFields)
--- a/radishshunt/platform/catalog.py
+++ b/radishshunt/platform/catalog.py
@@ -33,7 +33,10 @@
 # Ids of targets stand in a header of each request to them.
 _ID = re.compile(r"[!-~]+")
 NonEmptyText = Annotated[str, msgspec.Meta(min_length=1)]
-NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0)]
+# Messages between hosts have room for 64 bits.
+Integer = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+NonNegativeInteger = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+PositiveInteger = Annotated[int, msgspec.Meta(ge=1, le=2**31 - 1)]
 NonNegativeNumber = Annotated[float, msgspec.Meta(ge=0)]
 
 
@@ -51,12 +54,12 @@
     Split: list[_Part] | None = None
     # Latency objective: an answer within it has its full value. 0 stands for the timeout.
     SloMs: NonNegativeNumber = 0
-    MaxAttempts: int = DEFAULT_ATTEMPTS
-    Priority: int = 0
+    MaxAttempts: Integer = DEFAULT_ATTEMPTS
+    Priority: Integer = 0
 
 
 class _Service(msgspec.Struct):
-    MaxConns: int = 100
+    MaxConns: Integer = 100
     IsSharded: bool = False
     ColdPerS: NonNegativeNumber = 0
     # Time for which requests are slow on keys that were moved without a handover.
@@ -65,8 +68,8 @@
 
 
 class _Limits(msgspec.Struct):
-    MaxHeaderBytes: int = CallerLimits().head_bytes
-    MaxBodyBytes: int = CallerLimits().body_bytes
+    MaxHeaderBytes: Integer = CallerLimits().head_bytes
+    MaxBodyBytes: Integer = CallerLimits().body_bytes
     HeaderTimeoutMs: NonNegativeNumber = CallerLimits().head_seconds * 1000
     IdleTimeoutMs: NonNegativeNumber = CallerLimits().idle_seconds * 1000
 
@@ -82,7 +85,7 @@
 
 
 class _Configuration(msgspec.Struct):
-    Version: int
+    Version: NonNegativeInteger
     Resources: list[_Resource]
 
 
@@ -91,7 +94,7 @@
     Zone: NonEmptyText
     Version: str
     # Number of requests that the target processes concurrently.
-    Capacity: Annotated[int, msgspec.Meta(ge=1)]
+    Capacity: PositiveInteger
 
 
 class _Status(msgspec.Struct):
--- a/tests/test_platform/test_platform_catalog.py
+++ b/tests/test_platform/test_platform_catalog.py
@@ -40,6 +40,8 @@
         ("Info.Capacity", "3"),
         ("Info.Capacity", 0),
         ("Info.Capacity", True),
+        ("Info.Capacity", 10**20),
+        ("born", 2**63),
         ("Status.State", "asleep"),
         ("Status.Sequence", -1),
         ("Status.WarmupLeftMs", "0"),
@@ -88,3 +90,10 @@
     del doc["Resources"][0]["Spec"]["Service"]
     with pytest.raises(ProtocolError):
         decode_configuration(json.dumps(doc).encode())
+
+
+def test_configuration_whose_version_exceeds_64_bits_is_unreadable() -> None:
+    """Guards against hosts that cannot tell the leader which configuration is in force."""
+    value = json.dumps({**CONFIGURATION, "Version": 2**64}).encode()
+    with pytest.raises(ProtocolError):
+        decode_configuration(value)
