Let no component that fails again and again end the host

Cause: the supervisor took a component that fails often for a sign that a new process helps. A new process reads the same rows. One report that raised an exception closed the links of all hosts, since a link's exception ended the component that accepts links. A listener could not be restarted at all, as it entered the same cancel scope again.

An exception in a link closes that link only.

--- a/radishshunt/app.py
+++ b/radishshunt/app.py
@@ -209,7 +209,9 @@
         return self.metrics.render()
 
     async def _run_components(self) -> None:
-        await Supervisor(self.clock).run(
+        await Supervisor(
+            self.clock, lambda name: self.metrics.component_failures.labels(name).inc()
+        ).run(
             {
                 "membership": self.membership.run,
                 "fetches": self.sync.run_fetches,
--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -100,7 +100,9 @@
         # Version of the configuration in force here, and since when.
         self._own_version = (0, 0.0)
         self._host_count = HostCount(self.view.clock)
-        self._supervisor = Supervisor(self.view.clock)
+        self._supervisor = Supervisor(
+            self.view.clock, lambda name: self.metrics.component_failures.labels(name).inc()
+        )
 
     async def run(self) -> None:
         """Serve until cancelled."""
--- a/radishshunt/gateway/link_server.py
+++ b/radishshunt/gateway/link_server.py
@@ -235,6 +235,9 @@
                 nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError, ProtocolError) as group:
             logger.info("link from a host closed: %r", group.exceptions[0])
+        except* Exception as group:
+            # An exception in one link must not close the links of the other hosts.
+            logger.error("unexpected exception in a link from a host", exc_info=group)
         finally:
             if link is not None:
                 self._links.discard(link)
--- a/radishshunt/http_server.py
+++ b/radishshunt/http_server.py
@@ -109,7 +109,17 @@
         self._context = WorkerContext(None)
 
     async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
-        """Serve until cancelled or until :meth:`abort` is called."""
+        """Serve until cancelled or until :meth:`abort` is called.
+
+        :raises OSError: If the address cannot be listened on. The server can be run again.
+        """
+        try:
+            await self._run(task_status)
+        finally:
+            # A scope can be entered only once.
+            self._serve_scope, self._accept_scope = trio.CancelScope(), trio.CancelScope()
+
+    async def _run(self, task_status: trio.TaskStatus[None]) -> None:
         ip, _, port = self._address.rpartition(":")
         with self._serve_scope:
             async with trio.open_nursery() as nursery:
--- a/radishshunt/metrics.py
+++ b/radishshunt/metrics.py
@@ -79,6 +79,12 @@
         self.body_bytes = Gauge(
             "radishshunt_body_bytes", "Memory of request bodies held.", registry=self.registry
         )
+        self.component_failures = Counter(
+            "radishshunt_component_failures",
+            "Failures of a component, which is restarted after each.",
+            ["component"],
+            registry=self.registry,
+        )
         self.registry.register(self)
 
     def latency(self, stage: str, service: str) -> LatencyHistogram:
