Pass on only bytes that name the request, and signed successes

Cause: a response without the id that targets copy from the request was taken for the response to the request, and nothing checked that a success has the target's signature.

Change: bytes that bear no id or another one belong to no request and are skipped, like a second copy of an earlier response. A success with the right id and without the signature is an exchange without a response. Stand-ins in the tests add both headers now, as targets do.

--- a/radishshunt/gateway/exchange.py
+++ b/radishshunt/gateway/exchange.py
@@ -72,6 +72,7 @@
     :param echo: Header that the target copies from the request to its response, and its value;
         it identifies the request that a response belongs to.
     :param memory: Reservation that the body of the response is charged to.
+    :param success_header: Header that every successful response to the request has.
     """
 
     method: bytes
@@ -80,6 +81,7 @@
     body: bytes
     echo: tuple[bytes, bytes] | None = None
     memory: BodyReservation | None = None
+    success_header: bytes | None = None
 
 
 class Connection:
@@ -185,9 +187,12 @@
     async def _receive_matching_response(self, req: OutgoingRequest) -> HttpResponse:
         for _ in range(MAX_STALE_RESPONSES):
             response = await self._receive_response(req.memory)
-            if req.echo is None or response.header(req.echo[0]) in (None, req.echo[1]):
+            if _is_response_to(req, response):
+                if _is_unmarked_success(req, response):
+                    raise ExchangeError("success without the header of the target", sent=True)
                 return response
-            # A duplicate response to an earlier request; the one to this request follows it.
+            # Additional bytes, or a duplicate response to an earlier request. The response to this
+            # request follows.
             remaining = self._http.trailing_data[0]
             if self._http.their_state is not h11.DONE:
                 break
@@ -256,6 +261,20 @@
         raise ExchangeError("response body exceeds the memory for bodies", sent=True) from exc
 
 
+def _is_response_to(req: OutgoingRequest, response: HttpResponse) -> bool:
+    """Return whether a response belongs to a request, if the request has an id."""
+    return req.echo is None or response.header(req.echo[0]) == req.echo[1]
+
+
+def _is_unmarked_success(req: OutgoingRequest, response: HttpResponse) -> bool:
+    """Return whether a successful response lacks the header that the target adds to each."""
+    return (
+        req.success_header is not None
+        and 200 <= response.status < 300
+        and response.header(req.success_header) is None
+    )
+
+
 def _is_self_delimiting(response: HttpResponse) -> bool:
     """Return whether the end of a response is known without the connection being closed."""
     return (
--- a/radishshunt/platform/target_protocol.py
+++ b/radishshunt/platform/target_protocol.py
@@ -37,9 +37,8 @@
 _NOT_RUN_HEADER = NOT_RUN_HEADER.encode()
 _INSTANCE_HEADER = INSTANCE_HEADER.encode()
 _HANDOVER_HEADER = HANDOVER_HEADER.encode()
-_HEADERS_SET_BY_HOST = frozenset(
-    {_DEADLINE_MS_HEADER, _EXPECTED_TARGET_HEADER, SIGNATURE_HEADER.encode()}
-)
+_SIGNATURE_HEADER = SIGNATURE_HEADER.encode()
+_HEADERS_SET_BY_HOST = frozenset({_DEADLINE_MS_HEADER, _EXPECTED_TARGET_HEADER, _SIGNATURE_HEADER})
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 MISDIRECTED_REQUEST = 421
 # Longer numbers in headers are ignored; Python does not convert those of over 4,300 digits.
@@ -70,7 +69,9 @@
         attempt_id = req.attempt_id.encode("latin-1")
         echo = (_ATTEMPT_ID_HEADER, attempt_id) if attempt_id else None
         method = req.method.encode()
-        return OutgoingRequest(method, req.target, headers, req.body, echo, req.memory)
+        return OutgoingRequest(
+            method, req.target, headers, req.body, echo, req.memory, _SIGNATURE_HEADER
+        )
 
     def load_report(self, response: HttpResponse) -> LoadReport | None:
         value = response.header(_LOAD_HEADER)
--- a/tests/support/target_fleet.py
+++ b/tests/support/target_fleet.py
@@ -21,7 +21,7 @@
 HARMLESS_PATH = "/reads/harmless"
 SLOW_PATH = "/reads/slow/"
 HEALTH_PATH = "/healthz"
-OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Radishshunt-Server-Signature: s\r\n\r\nok"
 ERROR = b"HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n"
 # The same configuration, but any target may serve any request, up to four of them one after the
 # other.
--- a/tests/test_gateway/test_gateway_exchange.py
+++ b/tests/test_gateway/test_gateway_exchange.py
@@ -9,7 +9,12 @@
 import trio
 
 from radishshunt.body_memory import BodyMemory
-from radishshunt.gateway.exchange import Connection, ExchangeError, OutgoingRequest
+from radishshunt.gateway.exchange import (
+    Connection,
+    ExchangeError,
+    HttpResponse,
+    OutgoingRequest,
+)
 from radishshunt.gateway.target_pool import TargetPool
 
 if TYPE_CHECKING:
@@ -264,3 +269,30 @@
     assert isinstance(result, ExchangeError)
     assert not result.sent
     assert not conn.reusable
+
+
+@pytest.mark.parametrize("status", [b"200 OK", b"503 Busy"])
+async def test_additional_bytes_without_an_id_are_no_response(status: bytes) -> None:
+    """Guards against late additional bytes of a target that reach a caller as its response."""
+    extra = b"HTTP/1.1 " + status + b"\r\nContent-Length: 5\r\n\r\nextra"
+
+    async def target(stream: trio.SocketStream) -> None:
+        await stream.receive_some()
+        await stream.send_all(extra + _response(b"2", b"own"))
+
+    _, result = await _run_exchange(target, _request())
+    assert isinstance(result, HttpResponse)
+    assert result.body == b"own"
+
+
+async def test_success_without_the_signature_of_the_target_is_no_response() -> None:
+    """Guards against spoilt bytes that reach a caller as a success."""
+
+    async def target(stream: trio.SocketStream) -> None:
+        await stream.receive_some()
+        await stream.send_all(_response(b"2", b"spoilt"))
+
+    conn, result = await _run_exchange(target, replace(_request(), success_header=b"x-signature"))
+    assert isinstance(result, ExchangeError)
+    assert result.sent
+    assert not conn.reusable
--- a/tests/test_gateway/test_gateway_sender.py
+++ b/tests/test_gateway/test_gateway_sender.py
@@ -31,10 +31,16 @@
 
     Responder = Callable[[trio.SocketStream, int], Awaitable[bool]]
 
-OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+# Targets add the id of the request to each response, and their signature to each success.
+ID = b"X-Radishshunt-Attempt-Id: id\r\n"
+OK = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Radishshunt-Server-Signature: s\r\n"
+    + ID
+    + b"\r\nok"
+)
 REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nX-Radishshunt-Not-Executed: 1\r\n"
-    b"X-Radishshunt-Server-Load: 1,0,3\r\n\r\n"
+    b"X-Radishshunt-Server-Load: 1,0,3\r\n" + ID + b"\r\n"
 )
 
 
@@ -382,18 +388,16 @@
 
     The copy arrives when the same request has been sent to the same target again.
     """
-    refusal = REFUSAL.replace(b"\r\n\r\n", b"\r\nX-Radishshunt-Attempt-Id: id\r\n\r\n")
-    answer = OK.replace(b"\r\n\r\n", b"\r\nX-Radishshunt-Attempt-Id: id\r\n\r\n")
     refused_on: list[trio.SocketStream] = []
 
     async def respond(stream: trio.SocketStream, number: int) -> bool:
         if stream in refused_on:
-            await stream.send_all(refusal)
+            await stream.send_all(REFUSAL)
         if number == 1:
             refused_on.append(stream)
-            await stream.send_all(refusal)
+            await stream.send_all(REFUSAL)
         else:
-            await stream.send_all(answer)
+            await stream.send_all(OK)
         return True
 
     target = _Target(respond)
