Recognise the answer to a release by its handover

Cause: commands carry no id, and any answer with status 200 counted as that to the release. A late second copy of the answer to the grant that is sent right before it came in its place.

Change: a successful answer to a release bears the handover; others are skipped. A release goes over a connection that has carried no other release, and over the one of the grant that raises the token before it, so that the target takes the commands in this order whatever copies arrive.

--- a/radishshunt/gateway/exchange.py
+++ b/radishshunt/gateway/exchange.py
@@ -262,8 +262,13 @@
 
 
 def _is_response_to(req: OutgoingRequest, response: HttpResponse) -> bool:
-    """Return whether a response belongs to a request, if the request has an id."""
-    return req.echo is None or response.header(req.echo[0]) == req.echo[1]
+    """Return whether a response belongs to a request.
+
+    A successful response to a request without an id is recognised by the header that it must have.
+    """
+    if req.echo is None:
+        return not _is_unmarked_success(req, response)
+    return response.header(req.echo[0]) == req.echo[1]
 
 
 def _is_unmarked_success(req: OutgoingRequest, response: HttpResponse) -> bool:
--- a/radishshunt/gateway/target_grants.py
+++ b/radishshunt/gateway/target_grants.py
@@ -4,6 +4,7 @@
 
 import logging
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import TYPE_CHECKING
 
 import trio
@@ -102,6 +103,36 @@
         self.fence = fence
 
 
+class _CommandConnection:
+    """Carries several commands to a target in order, over one connection if that stays open.
+
+    :param used: Connections that must not be used. Those that are used are added.
+    """
+
+    def __init__(self, pool: TargetPool, used: set[Connection]) -> None:
+        self._pool = pool
+        self._used = used
+        self._conn: Connection | None = None
+
+    async def exchange(self, command: OutgoingRequest) -> HttpResponse:
+        """Send a command and return its complete answer.
+
+        :raises ExchangeError: If there is no complete answer.
+        """
+        if self._conn is not None and not self._conn.reusable:
+            self.close()
+        if self._conn is None:
+            self._conn = await self._pool.acquire(self._used, repeatable=True)
+        return await self._conn.exchange(command)
+
+    def close(self) -> None:
+        """Give the connection back."""
+        if self._conn is not None:
+            self._pool.give_back(self._conn)
+            self._conn = None
+        self._used.intersection_update({conn for conn in self._used if conn.reusable})
+
+
 class TargetGrants:
     """Owns the grants of one incarnation of a target.
 
@@ -132,6 +163,9 @@
         self._clock = clock
         self._is_leader = is_leader
         self._pool = TargetPool(entry.address, self._verify)
+        # Connections that have carried a release. A second copy of its answer could not be told
+        # from the answer to the next release.
+        self._release_connections: set[Connection] = set()
         self._lock = trio.Lock()
 
     def record_earlier_grant(self, keys: KeyRange, until: float) -> None:
@@ -217,7 +251,9 @@
         """Release a range that is no longer renewed, after raising its fencing token.
 
         The target then refuses grants with earlier tokens, whether they are still on their way or
-        come from a host with an outdated key map.
+        come from a host with an outdated key map. Both commands go over one connection, so that the
+        release follows the grant also if a second copy of an earlier answer passes for that to the
+        grant.
 
         :param allocate_fence: Returns a fencing token that has never been used.
         """
@@ -228,15 +264,18 @@
         keys = replace(granted_range.keys, fence=allocate_fence())
         regranted = GrantedRange(keys, GrantExpiry())
         may_be_pending = self._clock.now() < expiry.unanswered_until
+        commands = _CommandConnection(self._pool, self._release_connections)
         try:
-            status = await self._grant(regranted, self._remaining_seconds(expiry), "")
+            status = await self._grant(regranted, self._remaining_seconds(expiry), "", commands)
             expiry.until = max(expiry.until, regranted.expiry.until)
             if not status or (may_be_pending and status != STATUS_OK):
                 return ReleaseResult(False, expiry.until)
             command = self._protocol.release(self.entry.address, keys)
-            answer = await self._send(command, RELEASE_TIMEOUT_SECONDS)
+            answer = await self._send(command, RELEASE_TIMEOUT_SECONDS, commands)
         except FenceTooLow:
             return ReleaseResult(False, expiry.until)
+        finally:
+            commands.close()
         if answer is None or answer.status != STATUS_OK:
             return ReleaseResult(False, expiry.until)
         return ReleaseResult(True, expiry.until, self._protocol.handover(answer))
@@ -250,7 +289,13 @@
         seconds = (remaining - NETWORK_DELAY_SECONDS) / CLOCK_DRIFT_FACTOR
         return min(GRANT_SECONDS, max(MIN_GRANT_SECONDS, seconds))
 
-    async def _grant(self, granted: GrantedRange, seconds: float, handover: str) -> int:
+    async def _grant(
+        self,
+        granted: GrantedRange,
+        seconds: float,
+        handover: str,
+        commands: _CommandConnection | None = None,
+    ) -> int:
         """Send a grant, and return the status of its answer; 0 if there is none."""
         if self.process_ended or not self._is_leader():
             return 0
@@ -259,7 +304,7 @@
         lifetime = seconds * CLOCK_DRIFT_FACTOR + NETWORK_DELAY_SECONDS
         expiry.until = max(expiry.until, self._clock.now() + COMMAND_TIMEOUT_SECONDS + lifetime)
         self.latest_expiry = max(self.latest_expiry, expiry.until)
-        answer = await self._send(command, COMMAND_TIMEOUT_SECONDS)
+        answer = await self._send(command, COMMAND_TIMEOUT_SECONDS, commands)
         if answer is None:
             # The command may have arrived as late as the end of its timeout.
             expiry.unanswered_until = max(expiry.unanswered_until, expiry.until)
@@ -289,14 +334,25 @@
             self._verified_at = self._clock.now()
             raise ClosedAfterIdentityCheck("connection closed after the identity check", sent=False)
 
-    async def _send(self, command: OutgoingRequest, seconds: float) -> HttpResponse | None:
-        """Send a command; ``None`` means that it is unknown whether it takes effect."""
+    async def _send(
+        self,
+        command: OutgoingRequest,
+        seconds: float,
+        commands: _CommandConnection | None = None,
+    ) -> HttpResponse | None:
+        """Send a command; ``None`` means that it is unknown whether it takes effect.
+
+        :param commands: Connection to use; any one if it is ``None``.
+        """
+        exchange = partial(self._pool.exchange, repeatable=True)
+        if commands is not None:
+            exchange = commands.exchange
         try:
             with trio.move_on_after(seconds):
                 try:
-                    answer = await self._pool.exchange(command, repeatable=True)
+                    answer = await exchange(command)
                 except ClosedAfterIdentityCheck:
-                    answer = await self._pool.exchange(command, repeatable=True)
+                    answer = await exchange(command)
                 self.failing_since = None
                 return answer
             error = f"no answer within {seconds} s"
--- a/radishshunt/gateway/target_pool.py
+++ b/radishshunt/gateway/target_pool.py
@@ -60,20 +60,30 @@
             of this exchange is added.
         :raises ExchangeError: If there is no complete response.
         """
-        used = set() if used is None else used
+        conn = await self.acquire(set() if used is None else used, repeatable=repeatable)
+        try:
+            return await conn.exchange(req, on_send)
+        finally:
+            self.give_back(conn)
+
+    async def acquire(self, used: set[Connection], *, repeatable: bool) -> Connection:
+        """Return a connection for several requests in order, until it is given back.
+
+        :param used: Connections that must not be returned. The returned one is added.
+        :param repeatable: Whether the first request may run twice.
+        :raises ExchangeError: If no connection can be established.
+        """
         conn = self._pop_idle(repeatable, used) or await self._connect(CONNECT_TIMEOUT_SECONDS)
         used.add(conn)
-        try:
-            response = await conn.exchange(req, on_send)
-        except BaseException:
-            # The request may be in transit; the target must not run it after it was abandoned.
-            conn.abort()
-            raise
+        return conn
+
+    def give_back(self, conn: Connection) -> None:
+        """Take a connection back, whose last exchange may have failed."""
         if conn.reusable:
             self._idle_connections.append(conn)
         else:
-            conn.close()
-        return response
+            # A request may be in transit; the target must not run it after it was abandoned.
+            conn.abort()
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/radishshunt/platform/target_protocol.py
+++ b/radishshunt/platform/target_protocol.py
@@ -116,13 +116,15 @@
 
     def release(self, host: str, keys: KeyRange) -> OutgoingRequest:
         doc = {"From": keys.first, "Target": keys.last, "fence": keys.fence}
-        return _build_command(host, RELEASE_PATH, keys.target, doc)
+        return _build_command(host, RELEASE_PATH, keys.target, doc, _HANDOVER_HEADER)
 
     def handover(self, response: HttpResponse) -> str:
         return (response.header(_HANDOVER_HEADER) or b"").decode("latin-1")
 
 
-def _build_command(host: str, path: str, target_id: str, doc: dict) -> OutgoingRequest:
+def _build_command(
+    host: str, path: str, target_id: str, doc: dict, success_header: bytes | None = None
+) -> OutgoingRequest:
     body = json.dumps(doc).encode()
     headers = [
         (b"host", host.encode()),
@@ -130,7 +132,7 @@
         (_EXPECTED_TARGET_HEADER, target_id.encode()),
         (b"content-length", str(len(body)).encode()),
     ]
-    return OutgoingRequest(b"POST", path.encode(), headers, body)
+    return OutgoingRequest(b"POST", path.encode(), headers, body, success_header=success_header)
 
 
 def _count(value: bytes) -> int | None:
--- a/tests/support/grant_simulation.py
+++ b/tests/support/grant_simulation.py
@@ -26,7 +26,7 @@
 from radishshunt.gateway.view import View
 from radishshunt.platform.catalog import CatalogReader
 from radishshunt.platform.target_protocol import HttpTargetProtocol
-from tests.test_gateway.conftest import CONFIGURATION, entry_value
+from tests.test_gateway.conftest import CONFIGURATION, PoolConnection, entry_value
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -179,6 +179,12 @@
             self._process = None
             raise
 
+    async def acquire(self, used: set, *, repeatable: bool) -> PoolConnection:
+        return PoolConnection(self)
+
+    def give_back(self, conn: PoolConnection) -> None:
+        pass
+
     def close(self) -> None:
         self._process = None
 
--- a/tests/test_gateway/conftest.py
+++ b/tests/test_gateway/conftest.py
@@ -219,10 +219,28 @@
             raise ExchangeError("no answer", sent=True)
         return HttpResponse(status, [(b"x-radishshunt-handover", b"h")], b"")
 
+    async def acquire(self, used: set, *, repeatable: bool) -> PoolConnection:
+        return PoolConnection(self)
+
+    def give_back(self, conn: PoolConnection) -> None:
+        pass
+
     def close(self) -> None:
         pass
 
 
+class PoolConnection:
+    """Connection of a fake pool, which sends like any other."""
+
+    reusable = True
+
+    def __init__(self, pool: object) -> None:
+        self._pool = pool
+
+    async def exchange(self, req: OutgoingRequest) -> HttpResponse:
+        return await self._pool.exchange(req, repeatable=True)
+
+
 class _FakeConnection:
     reusable = True
 
--- a/tests/test_gateway/test_gateway_target_grants.py
+++ b/tests/test_gateway/test_gateway_target_grants.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from dataclasses import replace
+from itertools import count
 from typing import TYPE_CHECKING
 
+import h11
 import pytest
 import trio
 
@@ -14,6 +17,7 @@
 from radishshunt.gateway.model import KeyRange, TargetEntry
 from radishshunt.gateway.target_grants import CLOCK_DRIFT_FACTOR, FenceTooLow, TargetGrants
 from radishshunt.platform.target_protocol import HttpTargetProtocol
+from tests.test_gateway.conftest import PoolConnection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -189,6 +193,12 @@
             await self._verify(Connection())
             return HttpResponse(200, [], b"")
 
+        async def acquire(self, _used: set, *, repeatable: bool) -> PoolConnection:
+            return PoolConnection(self)
+
+        def give_back(self, _conn: PoolConnection) -> None:
+            pass
+
     monkeypatch.setattr(target_grants, "TargetPool", ClosingPool)
     grants = TargetGrants(ENTRY, HttpTargetProtocol(), TrioClock(), lambda: True, "/healthz")
     grants.record_earlier_grant(KEY_RANGE, 0.0)
@@ -214,3 +224,73 @@
     assert granted is not None
     assert not (await grants.release(granted, lambda: 6)).done
     grants.close()
+
+
+class _CopyingTarget:
+    """Target on loopback that sends second copies of its answers late.
+
+    :param copied: Path whose answers are sent once more, when the next answer is expected.
+    :ivar at_work_until: Time at which the work on released keys ends.
+    """
+
+    def __init__(self, copied: str) -> None:
+        self.at_work_until = 0.0
+        self._copied = copied
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        # Connections with unread bytes are reset.
+        with suppress(trio.BrokenResourceError):
+            await self._serve(stream)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        http, copy = h11.Connection(h11.SERVER), b""
+        path = ""
+        while True:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await stream.receive_some(65536))
+            elif isinstance(event, h11.Request):
+                path = event.target.decode()
+            elif isinstance(event, h11.EndOfMessage):
+                await stream.send_all(copy)
+                answer = await self._answer(path)
+                await stream.send_all(answer)
+                copy = answer if path == self._copied else b""
+                http = h11.Connection(h11.SERVER)
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+    async def _answer(self, path: str) -> bytes:
+        headers = b"Content-Length: 0\r\nX-Radishshunt-Instance-Id: i-1\r\n"
+        if path == RELEASE:
+            await trio.sleep(0.2)
+            self.at_work_until = trio.current_time()
+            headers += b"X-Radishshunt-Handover: h\r\n"
+        return b"HTTP/1.1 200 OK\r\n" + headers + b"\r\n"
+
+
+@pytest.mark.parametrize("copied", ["/healthz", GRANT, RELEASE])
+async def test_second_copy_of_an_answer_is_not_taken_for_the_answer_to_a_release(
+    copied: str,
+) -> None:
+    """Guards against keys that get a new owner while the former one is at work on them."""
+    target = _CopyingTarget(copied)
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+    entry = replace(ENTRY, address=address)
+    grants = TargetGrants(entry, HttpTargetProtocol(), TrioClock(), lambda: True, "/healthz")
+    fences = count(10)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, target.serve, listeners)
+        for first in (0, 50, 100):
+            keys = replace(KEY_RANGE, first=first, last=first + 49)
+            assert await grants.grant(keys, 4.0, "")
+            granted = grants.stop_renewing(keys.first, keys.last)
+            assert granted is not None
+            sent_at = trio.current_time()
+            result = await grants.release(granted, lambda: next(fences))
+            assert result.done
+            assert result.handover == "h"
+            assert sent_at < target.at_work_until <= trio.current_time()
+        grants.close()
+        nursery.cancel_scope.cancel()
