Keep the connections of releases apart while several are under way

Read again as a newcomer: the set of connections that have carried a release dropped those that were in use by another release at that moment, so that a later one could have been sent over them. It holds weak references now and drops nothing. A host whose listener for callers could not be opened, which is restarted now instead of ending the host, no longer says that it is ready. The test of the restarted listener checks this.

--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -204,7 +204,8 @@
 
     async def _readiness_app(self, scope: Any, receive: Any, send: Any) -> None:
         """Respond to the platform's readiness check."""
-        ready = scope["path"] == self._ready_path and self.view.complete and not self.stopping
+        serving = self._caller_server.is_listening and not self.stopping
+        ready = scope["path"] == self._ready_path and self.view.complete and serving
         await _send_response(send, 200 if ready else 503, json.dumps({"ready": ready}).encode())
 
     async def _metrics_app(self, scope: Any, receive: Any, send: Any) -> None:
--- a/radishshunt/gateway/target_grants.py
+++ b/radishshunt/gateway/target_grants.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, replace
 from functools import partial
 from typing import TYPE_CHECKING
+from weakref import WeakSet
 
 import trio
 
@@ -109,7 +110,7 @@
     :param used: Connections that must not be used. Those that are used are added.
     """
 
-    def __init__(self, pool: TargetPool, used: set[Connection]) -> None:
+    def __init__(self, pool: TargetPool, used: WeakSet[Connection]) -> None:
         self._pool = pool
         self._used = used
         self._conn: Connection | None = None
@@ -130,7 +131,6 @@
         if self._conn is not None:
             self._pool.give_back(self._conn)
             self._conn = None
-        self._used.intersection_update({conn for conn in self._used if conn.reusable})
 
 
 class TargetGrants:
@@ -165,7 +165,7 @@
         self._pool = TargetPool(entry.address, self._verify)
         # Connections that have carried a release. A second copy of its answer could not be told
         # from the answer to the next release.
-        self._release_connections: set[Connection] = set()
+        self._release_connections: WeakSet[Connection] = WeakSet()
         self._lock = trio.Lock()
 
     def record_earlier_grant(self, keys: KeyRange, until: float) -> None:
--- a/radishshunt/http_server.py
+++ b/radishshunt/http_server.py
@@ -118,6 +118,7 @@
         finally:
             # A scope can be entered only once.
             self._serve_scope, self._accept_scope = trio.CancelScope(), trio.CancelScope()
+            self._listeners = []
 
     async def _run(self, task_status: trio.TaskStatus[None]) -> None:
         ip, _, port = self._address.rpartition(":")
@@ -135,6 +136,11 @@
                             self._serve_connection, listeners, handler_nursery=nursery
                         )
 
+    @property
+    def is_listening(self) -> bool:
+        """Whether the server has opened its address, and has not failed since."""
+        return bool(self._listeners)
+
     @property
     def open_connections(self) -> int:
         """Number of open connections."""
--- a/tests/test_gateway/test_gateway_target_grants.py
+++ b/tests/test_gateway/test_gateway_target_grants.py
@@ -193,7 +193,7 @@
             await self._verify(Connection())
             return HttpResponse(200, [], b"")
 
-        async def acquire(self, _used: set, *, repeatable: bool) -> PoolConnection:
+        async def acquire(self, _used: object, *, repeatable: bool) -> PoolConnection:
             return PoolConnection(self)
 
         def give_back(self, _conn: PoolConnection) -> None:
--- a/tests/test_supervisor/test_supervisor_restarts.py
+++ b/tests/test_supervisor/test_supervisor_restarts.py
@@ -72,8 +72,9 @@
             server = HttpServer(app, address, name="callers")
             nursery.start_soon(Supervisor(TrioClock()).run, {"callers": server.run})
             await trio.sleep(0.25)
+            assert not server.is_listening
             await blocking[0].aclose()
-            while not server._listeners:
+            while not server.is_listening:
                 await trio.sleep(0.01)
             await (await trio.open_tcp_stream(ip, int(port))).aclose()
             nursery.cancel_scope.cancel()
