Release keys over the connection in use again

Cause: the identity check on the new connection waits for a slot of a busy target, so that 3 of some 70 releases got no answer to the grant before them within 0.6 s (none before), and the keys had no owner until the grants ended.

Change: releases use the pool's connections again. The grant and the release still go over the same one, so that a copy of the answer to an earlier release comes in the place of the answer to the grant, and one without a handover is skipped. The three tests of copies pass as before.

--- a/radishshunt/gateway/target_grants.py
+++ b/radishshunt/gateway/target_grants.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, replace
 from functools import partial
 from typing import TYPE_CHECKING
-from weakref import WeakSet
 
 import trio
 
@@ -105,14 +104,10 @@
 
 
 class _CommandConnection:
-    """Carries several commands to a target in order, over one connection if that stays open.
+    """Carries several commands to a target in order, over one connection if that stays open."""
 
-    :param used: Connections that must not be used. Those that are used are added.
-    """
-
-    def __init__(self, pool: TargetPool, used: WeakSet[Connection]) -> None:
+    def __init__(self, pool: TargetPool) -> None:
         self._pool = pool
-        self._used = used
         self._conn: Connection | None = None
 
     async def exchange(self, command: OutgoingRequest) -> HttpResponse:
@@ -123,7 +118,7 @@
         if self._conn is not None and not self._conn.reusable:
             self.close()
         if self._conn is None:
-            self._conn = await self._pool.acquire(self._used, repeatable=True)
+            self._conn = await self._pool.acquire(set(), repeatable=True)
         return await self._conn.exchange(command)
 
     def close(self) -> None:
@@ -163,9 +158,6 @@
         self._clock = clock
         self._is_leader = is_leader
         self._pool = TargetPool(entry.address, self._verify)
-        # Connections that have carried a release. A second copy of its answer could not be told
-        # from the answer to the next release.
-        self._release_connections: WeakSet[Connection] = WeakSet()
         self._lock = trio.Lock()
 
     def record_earlier_grant(self, keys: KeyRange, until: float) -> None:
@@ -253,7 +245,7 @@
         The target then refuses grants with earlier tokens, whether they are still on their way or
         come from a host with an outdated key map. Both commands go over one connection, so that the
         release follows the grant also if a second copy of an earlier answer passes for that to the
-        grant.
+        grant. Copies of the answers to earlier releases come in the place of that answer, too.
 
         :param allocate_fence: Returns a fencing token that has never been used.
         """
@@ -264,7 +256,7 @@
         keys = replace(granted_range.keys, fence=allocate_fence())
         regranted = GrantedRange(keys, GrantExpiry())
         may_be_pending = self._clock.now() < expiry.unanswered_until
-        commands = _CommandConnection(self._pool, self._release_connections)
+        commands = _CommandConnection(self._pool)
         try:
             status = await self._grant(regranted, self._remaining_seconds(expiry), "", commands)
             expiry.until = max(expiry.until, regranted.expiry.until)
--- a/radishshunt/gateway/target_pool.py
+++ b/radishshunt/gateway/target_pool.py
@@ -10,7 +10,7 @@
 from radishshunt.util.streams import ConnectFailed, connect
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, MutableSet
+    from collections.abc import Awaitable, Callable
 
 # Hosts and targets are at most a few milliseconds apart. A lost SYN packet is retransmitted only
 # after one second.
@@ -66,7 +66,7 @@
         finally:
             self.give_back(conn)
 
-    async def acquire(self, used: MutableSet[Connection], *, repeatable: bool) -> Connection:
+    async def acquire(self, used: set[Connection], *, repeatable: bool) -> Connection:
         """Return a connection for several requests in order, until it is given back.
 
         :param used: Connections that must not be returned. The returned one is added.
@@ -100,7 +100,7 @@
                 conn.close()
         self._idle_connections = usable
 
-    def _pop_idle(self, repeatable: bool, used: MutableSet[Connection]) -> Connection | None:
+    def _pop_idle(self, repeatable: bool, used: set[Connection]) -> Connection | None:
         limit = MAX_IDLE_SECONDS if repeatable else MAX_IDLE_SECONDS_NON_REPEATABLE
         for conn in reversed(self._idle_connections.copy()):
             if conn in used:
