End the hosts of a script that is stopped

Cause: a script that got SIGTERM left its hosts running. Change: the stand-ins cancel the case on SIGTERM, whose end kills the hosts.

--- a/review/stand_ins_2/platform_stand_in.py
+++ b/review/stand_ins_2/platform_stand_in.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import signal
 import socket
 import subprocess
 import sys
@@ -20,12 +21,9 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 from urllib.parse import parse_qs
 
-if TYPE_CHECKING:
-    import signal
-
 REPOSITORY = Path(__file__).resolve().parents[2]
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 READY_SECONDS = 30.0
@@ -755,6 +753,10 @@
     """
 
     async def main() -> int:
+        # Also a script that is stopped ends the processes that it started.
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         bed = Bed(folder)
         try:
             status = await play(bed)
@@ -765,7 +767,7 @@
 
     try:
         status = asyncio.run(main())
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         sys.stderr.write(f"the case could not run: {exc!r}\n")
         status = COULD_NOT_RUN
     sys.exit(status)
