--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,6 @@
 """A worker says in its answers that it leaves, while the store is down.
 
-With the disruption the store answers nothing for 4.5 s, and the worker cannot report there that it
+With the disruption the store answers nothing for 4.4 s, and the worker cannot report there that it
 leaves; its answers say so. Without it (TROUBLE=0) the same worker leaves while the store is up, in
 the same way. Writes record.txt.
 """
@@ -26,7 +26,7 @@
 )
 
 DRAIN_SECONDS = 2.0
-STORE_DOWN_SECONDS = 4.5
+STORE_DOWN_SECONDS = 4.4
 # A request is sent this long before it reaches the worker, at most.
 SLACK_SECONDS = 0.05
 
