Stop using targets that state in their responses that they are leaving

Cause: only the target's entry in the store could stop its use. No reader of responses looked at Server-Leaving.

Change: policy/direct/target_statements keeps what each process of a target has stated, with the order of evidence; View applies it like an entry. Forwarded requests, commands, identity checks and crash checks record statements, and hosts pass them on in reports and updates. The same mechanism carries the cold start that the health path states. View's data classes and the recording of responses become modules of their own.

--- a/radishshunt/gateway/crash_checks.py
+++ b/radishshunt/gateway/crash_checks.py
@@ -230,7 +230,11 @@
         try:
             with trio.move_on_after(CHECK_TIMEOUT_SECONDS):
                 request = self._protocol.identity_check(check.entry.address, check.health_path)
-                name = self._protocol.identity(await conn.exchange(request))
+                answer = await conn.exchange(request)
+                name = self._protocol.identity(answer)
+                statement = self._protocol.statement(answer, check.entry)
+                if name and statement is not None:
+                    self._view.record_statements((statement,), own=True)
         except ExchangeError:
             # An overloaded target resets connections.
             name = ""
--- a/radishshunt/gateway/gateway.capnp
+++ b/radishshunt/gateway/gateway.capnp
@@ -43,6 +43,18 @@
   backups @7 :List(Text);
   # Estimates that have changed, or all of them in the first update of a link.
   targetSpeeds @8 :List(TargetSpeed);
+  statements @9 :List(TargetStatement);
+}
+
+# What a process of a target has stated about itself.
+struct TargetStatement {
+  target @0 :Text;
+  # Start of the target's process in Unix milliseconds.
+  incarnation @1 :UInt64;
+  # Seconds since the process first stated that it is leaving; inf if it has not.
+  leavingAge @2 :Float32 = inf;
+  # Remaining seconds for which the process is cold.
+  coldSeconds @3 :Float32;
 }
 
 # Learned speed of a target.
@@ -102,6 +114,7 @@
   # Number of the report on its link, from 1 on.
   number @6 :UInt64;
   demands @7 :List(AllowanceDemand);
+  statements @8 :List(TargetStatement);
 }
 
 struct AllowanceDemand {
--- a/radishshunt/gateway/key_mover.py
+++ b/radishshunt/gateway/key_mover.py
@@ -251,6 +251,7 @@
                 self._clock,
                 lambda: self._leadership.valid,
                 self._health_path(entry.service),
+                lambda statement: self._view.record_statements((statement,), own=True),
             )
             self.grants[key] = grants
             if self._nursery is not None:
--- a/radishshunt/gateway/link_client.py
+++ b/radishshunt/gateway/link_client.py
@@ -207,6 +207,7 @@
                 report = replace(
                     self._build_report(),
                     suspects=self._suspects.next_report(first=hello is not None),
+                    statements=self._view.statements.next_report(sent_at, first=hello is not None),
                     hello=hello,
                 )
             else:
@@ -292,6 +293,7 @@
         self._view.set_moving(update.moving)
         self._view.overloaded = update.overloaded
         self._suspects.merge(update.suspects)
+        self._view.record_statements(update.statements, own=False)
         if self._target_model is not None:
             self._target_model.apply(update.target_speeds)
         self.hosts = update.hosts
--- a/radishshunt/gateway/link_server.py
+++ b/radishshunt/gateway/link_server.py
@@ -28,6 +28,7 @@
     from radishshunt.gateway.settings import HostSettings
     from radishshunt.gateway.suspect_exchange import SuspectExchange
     from radishshunt.gateway.view import View
+    from radishshunt.policy.direct.target_statements import TargetStatement
     from radishshunt.suspect import Suspect
     from radishshunt.target_model import TargetModel
 
@@ -147,7 +148,10 @@
         if self._target_model is not None:
             speeds = self._target_model.next_update(leading=self._is_leader())
         update = self._build_update(
-            self._delta_encoder.encode(changes), self._suspects.next_update(), speeds
+            self._delta_encoder.encode(changes),
+            self._suspects.next_update(),
+            speeds,
+            self._view.statements.next_update(self._view.clock.now()),
         )
         frame = encode(update)
         for link in self._links:
@@ -169,6 +173,7 @@
         changes: tuple[Change, ...],
         suspects: tuple[Suspect, ...],
         target_speeds: tuple[TargetSpeed, ...],
+        statements: tuple[TargetStatement, ...],
     ) -> StateUpdate:
         """Return an update with changes and the current state of this host."""
         leading = self._is_leader()
@@ -184,12 +189,13 @@
             suspects=suspects,
             backups=self.backups,
             target_speeds=target_speeds,
+            statements=statements,
         )
 
     def _queue_change(self, change: Change | None) -> None:
         """Queue a change for the links; most hosts have no links and queue nothing.
 
-        :param change: ``None`` if key moves began or ended.
+        :param change: ``None`` if key moves began or ended, or targets stated something.
         """
         self._full_state_cache = (float("-inf"), 0, b"")
         if not self._links:
@@ -218,7 +224,8 @@
         speeds = ()
         if self._target_model is not None:
             speeds = self._target_model.known(leading=self._is_leader())
-        return encode(self._build_update(changes, self._suspects.known(), speeds))
+        statements = self._view.statements.known(self._view.clock.now())
+        return encode(self._build_update(changes, self._suspects.known(), speeds, statements))
 
     def _hint_frame(self) -> bytes:
         """Return the frame that names the leader and the backups, for a host that looks for it."""
@@ -289,6 +296,7 @@
             if isinstance(msg, Report):
                 # Also while no host leads, as the request may come again at any host meanwhile.
                 self._suspects.merge(msg.suspects)
+                self._view.record_statements(msg.statements, own=False)
                 link.unanswered.record(msg)
             if self._is_leader():
                 was_leader = True
--- a/radishshunt/gateway/messages.py
+++ b/radishshunt/gateway/messages.py
@@ -12,6 +12,7 @@
 
 from radishshunt.errors import ProtocolError
 from radishshunt.gateway.rows import Change, Row, Topic
+from radishshunt.policy.direct.target_statements import TargetStatement
 from radishshunt.suspect import Suspect
 
 if TYPE_CHECKING:
@@ -61,6 +62,8 @@
     :param suspects: Requests that were running on targets when these were lost.
     :param backups: Addresses of the hosts that read the store while the leader is silent.
     :param target_speeds: Estimates that have changed, or all in the first update of a link.
+    :param statements: What targets have stated about themselves since the last update, or all of it
+        in the first update of a link.
     """
 
     leading: bool
@@ -72,6 +75,7 @@
     suspects: tuple[Suspect, ...] = ()
     backups: tuple[str, ...] = ()
     target_speeds: tuple[TargetSpeed, ...] = ()
+    statements: tuple[TargetStatement, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,6 +163,8 @@
     :param configuration: Version of the configuration in force on the host, 0 if there is none.
     :param number: Number of the report on its link, from 1 on.
     :param demands: Demand for allowances that all hosts share.
+    :param statements: What targets have stated about themselves to this host since the last report,
+        or all that it knows in the first report of a link.
     """
 
     host: str
@@ -169,6 +175,7 @@
     configuration: int = 0
     number: int = 0
     demands: tuple[AllowanceDemand, ...] = ()
+    statements: tuple[TargetStatement, ...] = ()
 
 
 Message = StateUpdate | Report | ReportAnswer
@@ -205,6 +212,7 @@
                 }
                 for speed in msg.target_speeds
             ],
+            "statements": _statement_fields(msg.statements),
         }
         frame = _schema.Frame.new_message(news=news)
     else:
@@ -239,6 +247,7 @@
                 }
                 for item in msg.demands
             ],
+            "statements": _statement_fields(msg.statements),
         }
         if msg.hello is not None:
             report["hello"] = _hello_fields(msg.hello)
@@ -366,6 +375,7 @@
             )
             for item in news.targetSpeeds
         ),
+        _decode_statements(news.statements),
     )
 
 
@@ -392,9 +402,39 @@
         report.configuration,
         report.number,
         demands,
+        _decode_statements(report.statements),
     )
 
 
+def _statement_fields(statements: Iterable[TargetStatement]) -> list[dict]:
+    return [
+        {
+            "target": item.target,
+            "incarnation": item.incarnation,
+            "leavingAge": item.leaving_age,
+            "coldSeconds": item.cold_seconds,
+        }
+        for item in statements
+    ]
+
+
+def _decode_statements(
+    items: capnp.lib.capnp._DynamicListReader,
+) -> tuple[TargetStatement, ...]:
+    """Return the statements in a message.
+
+    :raises ValueError: If a time in them is no number of seconds.
+    """
+    statements = tuple(
+        TargetStatement(item.target, item.incarnation, item.leavingAge, item.coldSeconds)
+        for item in items
+    )
+    for statement in statements:
+        if not (statement.leaving_age >= 0.0 and 0.0 <= statement.cold_seconds < math.inf):
+            raise ValueError(f"statement of target {statement.target} with an invalid time")
+    return statements
+
+
 def _answer_fields(answer: ReportAnswer) -> dict:
     return {
         "report": answer.report,
--- a/radishshunt/gateway/protocol.py
+++ b/radishshunt/gateway/protocol.py
@@ -11,7 +11,8 @@
 
     from radishshunt.body_memory import BodyReservation
     from radishshunt.gateway.exchange import HttpResponse, OutgoingRequest
-    from radishshunt.gateway.model import KeyRange
+    from radishshunt.gateway.model import KeyRange, TargetEntry
+    from radishshunt.policy.direct.target_statements import TargetStatement
     from radishshunt.workspaces.authentication import Caller, KeyRefusal
 
 
@@ -102,6 +103,14 @@
             number.
         """
 
+    @abstractmethod
+    def statement(self, response: HttpResponse, entry: TargetEntry) -> TargetStatement | None:
+        """Return what a target states about itself in a response.
+
+        :param entry: Entry of the target that the request was meant for.
+        :return: ``None`` if it states nothing, or if another process may have responded.
+        """
+
     @abstractmethod
     def is_not_run(self, response: HttpResponse) -> bool:
         """Return whether a response states that the target did not run the request."""
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import logging
-import math
 from dataclasses import dataclass, field
 from functools import partial
 from http import HTTPStatus
@@ -19,6 +17,7 @@
 from radishshunt.gateway.messages import Report, TargetWorkTime
 from radishshunt.gateway.model import RequestKind
 from radishshunt.gateway.repeats import Repeats
+from radishshunt.gateway.response_records import ResponseRecorder
 from radishshunt.gateway.retry_budgets import RetryBudgets
 from radishshunt.gateway.target_choice import TargetChooser
 from radishshunt.hashing import fingerprint
@@ -39,8 +38,6 @@
     from radishshunt.quarantine import Quarantine
     from radishshunt.target_model import TargetModel
 
-logger = logging.getLogger(__name__)
-
 CLEANUP_INTERVAL_SECONDS = 2.0
 SILENCE_CHECK_SECONDS = 0.1
 # An unfinished request is abandoned this long before its deadline, so that the error response
@@ -142,6 +139,7 @@
         self._protocol = protocol
         self._target_model = target_model
         self.chooser = TargetChooser(cfg, view, rng or Random(), target_model)
+        self._recorder = ResponseRecorder(view, protocol, self.chooser.work_times, target_model)
         self.retry_budgets = RetryBudgets(cfg, self.chooser)
         self._watched: set[_Attempt] = set()
         # Scopes of all requests, and the time at which the last of them end.
@@ -276,7 +274,9 @@
         try:
             response = await self._exchange(attempt, deadline)
             attempt.mark_answered()
-            self._record_load(response, attempt)
+            self._recorder.record_load(
+                response, route, service, target.entry, state, trio.current_time() - attempt.sent_at
+            )
             self.chooser.response_costs.on_response(route, target.entry, response, state.load)
         except ExchangeError as exc:
             self._record_failure(attempt, connected=exc.sent)
@@ -295,9 +295,10 @@
         finally:
             attempt.end()
         state.on_response()
+        self._recorder.record_statement(response, target.entry)
         if self._protocol.identity(response) in ("", target.entry.id):
             self._crash_checker.on_answer(target.entry, attempt.sent_at)
-            self._record_limit(response, target, state)
+            self._recorder.record_limit(response, target.entry, state)
         else:
             self._crash_checker.on_other_process(target.entry)
         self._log_attempt(attempt, response.status)
@@ -353,34 +354,6 @@
         if not connected or elapsed > SLOW_FACTOR * state.load.work_seconds:
             state.on_failure(now, connected=connected)
 
-    def _record_load(self, response: HttpResponse, attempt: _Attempt) -> None:
-        """Record the load and the work time that a response tells."""
-        state = attempt.state
-        report = self._protocol.load_report(response)
-        now = trio.current_time()
-        if report is not None:
-            state.load.on_report(report.running, report.waiting, report.slowdown, now)
-        if response.status < 500 and not self._protocol.is_not_run(response):
-            running, waiting = (report.running, report.waiting) if report is not None else (0, 0)
-            work_seconds = state.load.on_answer(now - attempt.sent_at, running, waiting)
-            self.chooser.work_times.on_work(attempt.service.name, work_seconds)
-            if self._target_model is not None:
-                entry, route = attempt.target.entry, attempt.route.name
-                self._target_model.on_work(entry, route, work_seconds, report)
-
-    def _record_limit(self, response: HttpResponse, target: Target, state: TargetState) -> None:
-        """Record the limit that a target names in a response, or that it names none any more."""
-        limit = self._protocol.request_limit(response)
-        if limit is None:
-            logger.warning("ignoring the malformed limit of target %s", target.entry.id)
-            return
-        if math.isinf(limit) and response.status >= HTTPStatus.BAD_REQUEST:
-            # Refusals and errors do not come from the work that the limit protects.
-            return
-        now = trio.current_time()
-        if state.request_limiter.on_limit(limit, target.entry.incarnation, now):
-            decision("target-limit", target=target.entry.id, limit=limit)
-
     def _record_failed_attempt(self, attempt: _Attempt, exc: ExchangeError) -> None:
         """Record that a target returned no complete response.
 
--- a/radishshunt/gateway/target_grants.py
+++ b/radishshunt/gateway/target_grants.py
@@ -20,6 +20,7 @@
     from radishshunt.gateway.exchange import Connection, HttpResponse, OutgoingRequest
     from radishshunt.gateway.model import KeyRange, TargetEntry
     from radishshunt.gateway.protocol import TargetProtocol
+    from radishshunt.policy.direct.target_statements import TargetStatement
 
 logger = logging.getLogger(__name__)
 
@@ -132,6 +133,7 @@
     """Owns the grants of one incarnation of a target.
 
     :param is_leader: Returns whether this host is still the leader.
+    :param on_statement: Called with what the target states about itself in its answers.
     :ivar process_ended: Whether another process has been found at the target's address.
     :ivar latest_expiry: Time until which the target may hold any keys, as far as this host knows.
     :ivar failing_since: Time of the first of the current consecutive failures, ``None`` after a
@@ -146,8 +148,10 @@
         clock: Clock,
         is_leader: Callable[[], bool],
         health_path: str,
+        on_statement: Callable[[TargetStatement], None] | None = None,
     ) -> None:
         self.entry = entry
+        self._on_statement = on_statement
         self.process_ended = False
         self.latest_expiry = float("-inf")
         self._health_path = health_path
@@ -315,7 +319,9 @@
         check = self._protocol.identity_check(self.entry.address, self._health_path)
         if self._clock.now() < self._verified_at + IDENTITY_VALID_SECONDS:
             return
-        registration = self._protocol.identity(await conn.exchange(check))
+        answer = await conn.exchange(check)
+        self._record_statement(answer)
+        registration = self._protocol.identity(answer)
         if registration != self.entry.id:
             self.process_ended = bool(registration)
             raise ExchangeError(
@@ -326,6 +332,11 @@
             self._verified_at = self._clock.now()
             raise ClosedAfterIdentityCheck("connection closed after the identity check", sent=False)
 
+    def _record_statement(self, answer: HttpResponse) -> None:
+        statement = self._protocol.statement(answer, self.entry)
+        if statement is not None and self._on_statement is not None:
+            self._on_statement(statement)
+
     async def _send(
         self,
         command: OutgoingRequest,
@@ -346,6 +357,7 @@
                 except ClosedAfterIdentityCheck:
                     answer = await exchange(command)
                 self.failing_since = None
+                self._record_statement(answer)
                 return answer
             error = f"no answer within {seconds} s"
         except ExchangeError as exc:
--- a/radishshunt/gateway/view.py
+++ b/radishshunt/gateway/view.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import trio
@@ -12,16 +12,19 @@
 from radishshunt.gateway.key_maps import KEY_MAP_PART_PREFIX, KEY_MAP_PREFIX, KeyMapRows
 from radishshunt.gateway.leader_row import LEADER_KEY, Leader, decode_leader
 from radishshunt.gateway.rows import Change, Row, Topic, restore_count
+from radishshunt.gateway.view_state import DisputedRow, Target
 from radishshunt.logs import decision
+from radishshunt.policy.direct.target_statements import NEVER, TargetStatements
 from radishshunt.workspaces.confirmation import Confirmation
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from radishshunt.clock import Clock
     from radishshunt.gateway.key_maps import KeyIndex
     from radishshunt.gateway.model import Configuration, KeyRange, Route, TargetEntry
     from radishshunt.gateway.rows import RowReader
+    from radishshunt.policy.direct.target_statements import StatedState, TargetStatement
 
 logger = logging.getLogger(__name__)
 
@@ -42,38 +45,6 @@
 STORE_OUTAGE_SECONDS = 2.5
 
 
-@dataclass(slots=True)
-class Target:
-    """State of a target in the local view.
-
-    :param cold_until: Time on the host's clock until which the target is cold.
-    :param leaving_since: Time on the host's clock at which the target was first seen draining or
-        gone, or ``None``.
-    :param gone: Whether the target's entry is absent from the store.
-    :param expired_in_outage: Whether the entry may have expired because of an outage of the store.
-    """
-
-    entry: TargetEntry
-    cold_until: float
-    leaving_since: float | None = None
-    gone: bool = False
-    expired_in_outage: bool = False
-
-
-@dataclass(slots=True)
-class DisputedRow:
-    """A row of a restored store that contradicts what this host knew before the restore.
-
-    :param row: The row, ``None`` if the store lacks it.
-    :param restores: Number of restores of the store.
-    :param deadline: Time from which the row counts if nobody has written it again.
-    """
-
-    row: Row | None
-    restores: int
-    deadline: float
-
-
 class View:
     """Local view of one host; its rows change only by :meth:`apply` and after a restore.
 
@@ -107,7 +78,7 @@
         self._disputed_rows: dict[Topic, dict[str, DisputedRow]] = {topic: {} for topic in Topic}
         self.rows: dict[Topic, dict[str, Row]] = {topic: {} for topic in Topic}
         self.changed = trio.Event()
-        # Called with each applied change, or with ``None`` when the set of moving keys changed.
+        # Called with each applied change, or with ``None`` when anything but rows changed.
         self.listeners: list[Callable[[Change | None], None]] = []
         self._reader = reader
         self._by_service: dict[str, list[Target]] = {}
@@ -116,6 +87,7 @@
         self._outage_ended_at = float("-inf")
         self._store_answered_at = clock.now()
         self.confirmation = Confirmation()
+        self.statements = TargetStatements()
 
     @property
     def key_maps(self) -> dict[str, KeyIndex]:
@@ -347,6 +319,34 @@
             del self.targets[key]
         if gone:
             self._index_services()
+        processes = {(t.entry.id, t.entry.incarnation) for t in self.targets.values()}
+        self.statements.forget_old(processes, self.clock.now())
+
+    def record_statements(self, statements: Iterable[TargetStatement], *, own: bool) -> None:
+        """Record what targets have stated about themselves.
+
+        :param own: Whether they stated it to this host, in contrast to another one.
+        """
+        changed = False
+        for statement in statements:
+            if not self.statements.record(statement, self.clock.now(), own=own):
+                continue
+            changed = True
+            decision(
+                "target-statement",
+                target=statement.target,
+                leaving=statement.leaving_age != NEVER,
+                cold_seconds=statement.cold_seconds,
+                own=own,
+            )
+            target = self.targets.get(statement.target)
+            if target is not None:
+                target.apply_stated(self._stated(target.entry))
+        if changed:
+            self._notify(None)
+
+    def _stated(self, entry: TargetEntry) -> StatedState | None:
+        return self.statements.state(entry.id, entry.incarnation)
 
     def set_moving(self, moving: dict[str, list[tuple[int, int]]]) -> None:
         """Set the ranges of keys that the leader is moving, by service."""
@@ -452,6 +452,7 @@
             target.leaving_since = old.leaving_since if entry.draining else None
         if entry.draining and target.leaving_since is None:
             target.leaving_since = now
+        target.apply_stated(self._stated(entry))
         self.targets[entry.id] = target
         self._index_services()
         decision(
--- a/radishshunt/platform/names.py
+++ b/radishshunt/platform/names.py
@@ -17,6 +17,10 @@
 HANDOVER_HEADER = "x-radishshunt-handover"
 # Requests per second that a target takes from all hosts together; this name has no prefix.
 REQUEST_LIMIT_HEADER = "server-limit"
+# Set to 1 in all responses of a target that is leaving; this name has no prefix.
+LEAVING_HEADER = "server-leaving"
+# Milliseconds for which a target stays cold, in the responses of its health path.
+COLD_MS_HEADER = "x-radishshunt-warmup-ms"
 
 # Header of the store's answers; its number rises whenever the store was restored from a copy.
 STORE_ERA_HEADER = "store-era"
--- a/radishshunt/platform/target_protocol.py
+++ b/radishshunt/platform/target_protocol.py
@@ -12,12 +12,14 @@
 from radishshunt.platform.names import (
     API_KEY_HEADER,
     ATTEMPT_ID_HEADER,
+    COLD_MS_HEADER,
     DEADLINE_MS_HEADER,
     EXPECTED_TARGET_HEADER,
     GRANT_PATH,
     HANDOVER_HEADER,
     INSTANCE_HEADER,
     KEY_HEADER,
+    LEAVING_HEADER,
     LOAD_HEADER,
     NOT_RUN_HEADER,
     RELEASE_PATH,
@@ -25,9 +27,10 @@
     SIGNATURE_HEADER,
     WORKSPACE_HEADER,
 )
+from radishshunt.policy.direct.target_statements import NEVER, TargetStatement
 
 if TYPE_CHECKING:
-    from radishshunt.gateway.model import KeyRange
+    from radishshunt.gateway.model import KeyRange, TargetEntry
     from radishshunt.gateway.protocol import CallerRequest
 
 _ATTEMPT_ID_HEADER = ATTEMPT_ID_HEADER.encode()
@@ -36,6 +39,8 @@
 _EXPECTED_TARGET_HEADER = EXPECTED_TARGET_HEADER.encode()
 _LOAD_HEADER = LOAD_HEADER.encode()
 _REQUEST_LIMIT_HEADER = REQUEST_LIMIT_HEADER.encode()
+_LEAVING_HEADER = LEAVING_HEADER.encode()
+_COLD_MS_HEADER = COLD_MS_HEADER.encode()
 _NOT_RUN_HEADER = NOT_RUN_HEADER.encode()
 _INSTANCE_HEADER = INSTANCE_HEADER.encode()
 _HANDOVER_HEADER = HANDOVER_HEADER.encode()
@@ -46,6 +51,8 @@
 _HEADERS_SET_BY_HOST = frozenset({_DEADLINE_MS_HEADER, _EXPECTED_TARGET_HEADER, _SIGNATURE_HEADER})
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 MISDIRECTED_REQUEST = 421
+# Longer cold starts are not believed.
+MAX_COLD_SECONDS = 600.0
 # Longer numbers in headers are ignored; Python does not convert those of over 4,300 digits.
 MAX_DIGITS = 32
 
@@ -107,6 +114,22 @@
             return math.inf
         return float(value) if _is_number(value) else None
 
+    def statement(self, response: HttpResponse, entry: TargetEntry) -> TargetStatement | None:
+        identity = self.identity(response)
+        # A process that the request was not meant for refuses it, and need not name itself.
+        if identity not in ("", entry.id) or (not identity and self.is_wrong_target(response)):
+            return None
+        leaving = (response.header(_LEAVING_HEADER) or b"").strip() == b"1"
+        cold_ms = _count(response.header(_COLD_MS_HEADER) or b"") or 0
+        if not leaving and not cold_ms:
+            return None
+        return TargetStatement(
+            entry.id,
+            entry.incarnation,
+            leaving_age=0.0 if leaving else NEVER,
+            cold_seconds=min(cold_ms / 1000, MAX_COLD_SECONDS),
+        )
+
     def is_not_run(self, response: HttpResponse) -> bool:
         return (
             response.header(_NOT_RUN_HEADER) is not None or response.status == MISDIRECTED_REQUEST
