Take no entry as proof that the owner of keys has ended

Cause: KeyReleaser took entries, which anybody can write, as proof that the owner's process had ended. The same cause ended the renewals of a target whose entry was overwritten for a moment, and made CrashChecker count crashes.

Change: an entry is a hint at which the address is asked for its process; only the answer counts. Renewals pause while a later entry stands under a name.

--- a/radishshunt/gateway/crash_checks.py
+++ b/radishshunt/gateway/crash_checks.py
@@ -98,6 +98,7 @@
     """A lost request whose target seemed to run."""
 
     entry: TargetEntry
+    health_path: str
     request: LostRequest
 
 
@@ -179,7 +180,7 @@
             unreachable_at = trio.current_time() + UNREACHABLE_SECONDS
             while self._drop_answered(check):
                 asked_at = trio.current_time()
-                fate = await self._ask(check)
+                fate = await self._ask(check.entry, check.health_path)
                 check.unreachable = fate is TargetFate.UNKNOWN
                 if self._settle(check, fate, asked_at, unreachable_at):
                     return
@@ -217,10 +218,10 @@
         unreachable = sum(other.unreachable for other in self._checks.values())
         return self._answered_at <= first_lost_at and unreachable >= CUT_OFF_TARGETS
 
-    async def _ask(self, check: _Check) -> TargetFate:
+    async def _ask(self, entry: TargetEntry, health_path: str) -> TargetFate:
         """Ask for the process at a target's address."""
         try:
-            stream = await connect(check.entry.address, CHECK_TIMEOUT_SECONDS)
+            stream = await connect(entry.address, CHECK_TIMEOUT_SECONDS)
         except ConnectTimeout:
             return TargetFate.UNKNOWN
         except ConnectFailed:
@@ -229,10 +230,10 @@
         name = ""
         try:
             with trio.move_on_after(CHECK_TIMEOUT_SECONDS):
-                request = self._protocol.identity_check(check.entry.address, check.health_path)
+                request = self._protocol.identity_check(entry.address, health_path)
                 answer = await conn.exchange(request)
                 name = self._protocol.identity(answer)
-                statement = self._protocol.statement(answer, check.entry)
+                statement = self._protocol.statement(answer, entry)
                 if name and statement is not None:
                     self._view.record_statements((statement,), own=True)
         except ExchangeError:
@@ -240,13 +241,15 @@
             name = ""
         finally:
             conn.close()
-        return TargetFate.REPLACED if name and name != check.entry.id else TargetFate.RUNNING
+        return TargetFate.REPLACED if name and name != entry.id else TargetFate.RUNNING
 
     def _watch(self, check: _Check, requests: list[LostRequest]) -> None:
         """Move requests from a check to the watched ones."""
         check.lost = [request for request in check.lost if request not in requests]
         self._forget_old_requests()
-        self._watched += [_WatchedRequest(check.entry, request) for request in requests]
+        self._watched += [
+            _WatchedRequest(check.entry, check.health_path, request) for request in requests
+        ]
         del self._watched[:-MAX_WATCHED_REQUESTS]
 
     def _forget_old_requests(self) -> None:
@@ -261,13 +264,37 @@
         self._forget_old_requests()
         if not self._watched:
             return
-        entries = {target.entry.address: target.entry for target in self._view.targets.values()}
-        for entry in {_process(item.entry): item.entry for item in self._watched}.values():
-            known = self._view.targets.get(entry.id)
-            at_address = entries.get(entry.address, entry)
-            started = max(known.entry.incarnation if known else 0, at_address.incarnation)
-            if started > entry.incarnation:
-                self._record_watched(entry)
+        for item in {_process(item.entry): item for item in self._watched}.values():
+            if self._has_restarted(item.entry):
+                self._record_watched(item.entry)
+            elif self._seems_replaced(item.entry) and self._nursery is not None:
+                self._nursery.start_soon(self._ask_watched, item)
+
+    def _has_restarted(self, entry: TargetEntry) -> bool:
+        """Return whether a later process is registered under a target's name at its address."""
+        known = self._view.targets.get(entry.id)
+        return (
+            known is not None
+            and known.entry.incarnation > entry.incarnation
+            and known.entry.address == entry.address
+        )
+
+    def _seems_replaced(self, entry: TargetEntry) -> bool:
+        """Return whether a later process is registered at a target's address, or it elsewhere.
+
+        The entry may come from another writer, so it proves nothing.
+        """
+        return any(
+            other.incarnation > entry.incarnation
+            and (other.id == entry.id) != (other.address == entry.address)
+            for other in (target.entry for target in self._view.targets.values())
+        )
+
+    async def _ask_watched(self, item: _WatchedRequest) -> None:
+        """Record the watched requests of a target if it answers no more at its address."""
+        fate = await self._ask(item.entry, item.health_path)
+        if fate in (TargetFate.ENDED, TargetFate.REPLACED):
+            self._record_watched(item.entry)
 
     def _record_watched(self, entry: TargetEntry) -> None:
         """Record the watched requests of a target whose process has ended."""
--- a/radishshunt/gateway/key_mover.py
+++ b/radishshunt/gateway/key_mover.py
@@ -265,7 +265,11 @@
 
     async def _renew_grants(self, grants: TargetGrants) -> None:
         """Renew the grants of a target until its process ends."""
-        while not grants.process_ended and not self._has_restarted(grants.entry):
+        while not grants.process_ended:
+            if self._has_restarted(grants.entry):
+                # The entry of another writer stands until the target writes its own again.
+                await trio.sleep(RENEW_INTERVAL_SECONDS)
+                continue
             store_silent = (
                 self._leadership.lease_expiring
                 or self._view.seconds_since_store_answer > STORE_SILENT_SECONDS
--- a/radishshunt/gateway/key_release.py
+++ b/radishshunt/gateway/key_release.py
@@ -23,6 +23,8 @@
 # prolong the hold, so it is not sent again when less than MIN_RETRY_HOLD_SECONDS are left.
 RETRY_SECONDS = 0.4
 MIN_RETRY_HOLD_SECONDS = 1.6
+# Interval at which the address of an owner that seems to be replaced is asked for its process.
+ASK_INTERVAL_SECONDS = 0.4
 
 
 class KeyReleaser:
@@ -117,28 +119,35 @@
             restarts are to be ignored.
         :param retry_at: Time at which to return in any case.
         """
-        wait_until = min(expiry, retry_at)
+        wait_until, ask_at = min(expiry, retry_at), float("-inf")
         while self._clock.now() < wait_until and not self._owner_process_ended(owner):
             if released_from is not None and self._current_incarnation(owner) not in released_from:
                 return
+            if self._clock.now() >= ask_at:
+                ask_at = self._clock.now() + ASK_INTERVAL_SECONDS
+                await self._ask_for_process(owner)
             await trio.sleep(0.1)
 
     def _owner_process_ended(self, owner: KeyRange) -> bool:
-        """Return whether no process can hold the keys by commands that were meant for the owner.
+        """Return whether another process has answered at the owner's address.
 
-        A target that restarted under its name at its address may have taken a renewal that was
-        meant for its earlier process, so it has to release the keys.
+        Entries prove nothing, since they may come from other writers. A target that restarted
+        under its name at its address may have taken a renewal that was meant for its earlier
+        process, so it has to release the keys.
         """
         grants = self._grants.get((owner.target, owner.incarnation))
-        if grants is not None and grants.process_ended:
-            return True
-        address = owner.address
-        target = self._view.targets.get(owner.target)
-        if target is not None and target.entry.incarnation > owner.incarnation:
-            return bool(address) and target.entry.address != address
+        return grants is not None and grants.process_ended
+
+    async def _ask_for_process(self, owner: KeyRange) -> None:
+        """Ask which process is at the owner's address if an entry hints at another one."""
+        grants = self._grants.get((owner.target, owner.incarnation))
+        if grants is not None and self._seems_replaced(owner):
+            await grants.check_reachable()
+
+    def _seems_replaced(self, owner: KeyRange) -> bool:
+        """Return whether a later process is registered at the owner's address, or it elsewhere."""
         return any(
-            other.entry.address == address
-            and other.entry.id != owner.target
-            and other.entry.incarnation > owner.incarnation > 0
-            for other in self._view.targets.values()
+            entry.incarnation > owner.incarnation
+            and (entry.id == owner.target) != (entry.address == owner.address)
+            for entry in (target.entry for target in self._view.targets.values())
         )
--- a/radishshunt/gateway/target_grants.py
+++ b/radishshunt/gateway/target_grants.py
@@ -192,9 +192,10 @@
         self._pool.close()
 
     async def check_reachable(self) -> None:
-        """End a series of failures if the target answers again.
+        """Ask the target for its registration, over a new connection if none is usable.
 
-        A target that has lost all its keys gets no further commands that would show it.
+        The answer ends a series of failures, also of a target that holds no keys and so gets no
+        other commands. That of another process sets :attr:`process_ended`.
         """
         await self._send(
             self._protocol.identity_check(self.entry.address, self._health_path),
--- a/tests/support/target_fleet.py
+++ b/tests/support/target_fleet.py
@@ -193,6 +193,11 @@
     stream.close()
 
 
+async def reset_connection(fleet: TargetFleet, target: FleetTarget, stream: Stream) -> None:
+    """Close the connection without an answer, and go on running."""
+    stream.close()
+
+
 async def restart(fleet: TargetFleet, target: FleetTarget, stream: Stream) -> None:
     """Restart at once under the same registration; the store has the new entry later."""
     fleet.crashed += 1
--- a/tests/test_gateway/test_gateway_coordinator.py
+++ b/tests/test_gateway/test_gateway_coordinator.py
@@ -320,6 +320,54 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_entry_of_another_writer_does_not_give_away_the_keys_of_a_target(
+    autojump_clock: object,
+    view: View,
+    store: MemoryStore,
+    cfg: HostSettings,
+    fake_targets: FakeTargets,
+) -> None:
+    """Guards against keys that move without a release because of an entry with their address."""
+    coordinator = _coordinator(view, store, cfg, ReportedLoadStatistics(view.clock))
+    _register_targets(view, fake_targets, 4)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow_store, view, store)
+        nursery.start_soon(coordinator.run)
+        await trio.sleep(4.0)
+        foreign = entry_value("127.0.0.1:9", born=5).replace(b'"register"', b'"inventory"')
+        apply_row(view, Topic.TARGETS, "x-1", foreign, 50)
+        apply_row(view, Topic.TARGETS, "i-0", entry_value("127.0.0.1:9", State="draining"), 51)
+        await trio.sleep(2.0)
+        assert "i-0" not in {r.target for r in decode_key_map(store.rows[KEY_MAP_ROW].value).ranges}
+        _assert_one_owner_per_key(store, fake_targets, 4)
+        nursery.cancel_scope.cancel()
+
+
+async def test_target_whose_entry_was_overwritten_for_a_moment_keeps_its_grants(
+    autojump_clock: object,
+    view: View,
+    store: MemoryStore,
+    cfg: HostSettings,
+    fake_targets: FakeTargets,
+) -> None:
+    """Guards against grants that are never renewed again after a foreign entry in their row."""
+    coordinator = _coordinator(view, store, cfg, ReportedLoadStatistics(view.clock))
+    _register_targets(view, fake_targets, 1)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow_store, view, store)
+        nursery.start_soon(coordinator.run)
+        await trio.sleep(4.0)
+        apply_row(view, Topic.TARGETS, "i-0", entry_value("127.0.0.9:9", born=5), 50)
+        await trio.sleep(1.5)
+        apply_row(view, Topic.TARGETS, "i-0", entry_value("127.0.0.1:9", Sequence=2), 51)
+        await trio.sleep(5.0)
+        sent = len(fake_targets.fences("grant"))
+        await trio.sleep(5.0)
+        assert len(fake_targets.fences("grant")) - sent >= 4
+        _assert_one_owner_per_key(store, fake_targets, 1)
+        nursery.cancel_scope.cancel()
+
+
 async def test_keys_of_a_target_that_restarted_under_its_name_are_released_before_they_move(
     autojump_clock: object,
     view: View,
--- a/tests/test_gateway/test_gateway_crash_checks.py
+++ b/tests/test_gateway/test_gateway_crash_checks.py
@@ -34,6 +34,7 @@
     end,
     end_at_every_second_arrival,
     fall_silent,
+    reset_connection,
     restart,
 )
 from tests.test_gateway.conftest import apply_row, entry_value
@@ -214,6 +215,21 @@
     assert fleet.quarantine.count_losses(7, "", SystemClock().now()) == 1
 
 
+async def test_entry_of_another_writer_does_not_show_that_a_target_has_ended(
+    autojump_clock: object, fleet: _Fleet
+) -> None:
+    """Guards against a request that is refused because of an entry with its target's address."""
+    fleet.crash = reset_connection
+    for born in (5, 6, 7):
+        assert await fleet.send(CRASHING_PATH) == 502
+        for target in fleet.targets:
+            entry = entry_value(f"127.0.0.{target.number + 1}:9", born=born)
+            entry = entry.replace(b'"register"', b'"inventory"')
+            version = 100 * born + target.number
+            apply_row(fleet.view, Topic.TARGETS, f"x-{target.number}", entry, version)
+        await trio.sleep(CHECK_SECONDS)
+
+
 async def test_overloaded_targets_that_reset_connections_are_not_taken_for_crashed(
     autojump_clock: object, fleet: _Fleet
 ) -> None:
--- a/tests/test_gateway/test_gateway_grant_interleavings.py
+++ b/tests/test_gateway/test_gateway_grant_interleavings.py
@@ -8,6 +8,7 @@
 import trio._core._run as trio_run
 
 from radishshunt.gateway import target_grants
+from tests.support.foreign_entry_simulation import ForeignEntrySimulation
 from tests.support.grant_simulation import GrantSimulation
 from tests.support.link_simulation import LinkSimulation
 from tests.support.takeover_simulation import TakeoverSimulation
@@ -67,3 +68,17 @@
     monkeypatch.setattr(target_grants, "TargetPool", simulation.pool_class)
     await simulation.run()
     assert simulation.errors == []
+
+
+@pytest.mark.parametrize("seed", range(12))
+async def test_no_entry_of_another_writer_gives_a_key_two_owners(
+    autojump_clock: object, monkeypatch: pytest.MonkeyPatch, cfg: HostSettings, seed: int
+) -> None:
+    """Guards against keys that move without a release because of an entry that anybody wrote."""
+    monkeypatch.setattr(trio_run, "_ALLOW_DETERMINISTIC_SCHEDULING", True)
+    trio_run._r.seed(seed)
+    simulation = ForeignEntrySimulation(cfg, seed)
+    monkeypatch.setattr(target_grants, "TargetPool", simulation.pool_class)
+    await simulation.run()
+    assert simulation.written
+    assert simulation.errors == []
