Ask targets whether they are cold while changes may not arrive

Cause: backups read the store only when their state was 1.25 s old, although their link to the leader had closed at once; nothing read the cold start that the health path states; and the limiter counted only from when it knew.

Change: backups read the store once their link has closed or updates are overdue. While changes may not reach a host, it asks a target's health path before it exceeds its share of a cold target's limit. The limiter counts all requests of the last second. Explanations name the wait.

--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -139,6 +139,7 @@
                 state_age=lambda: self._state_age,
             )
         )
+        self.sender.chooser.cold_admission.misses_changes = self._misses_changes
         self._link_server = LinkServer(
             cfg,
             self.view,
@@ -228,6 +229,12 @@
             return topic is not Topic.OWN
         return self._link_client.store_needed
 
+    def _misses_changes(self) -> bool:
+        """Return whether changes in the store may not reach this host at this moment."""
+        if self.view.followed_age <= self.cfg.bounds.live_state_age_seconds:
+            return False
+        return self.leadership.valid or self._link_client.misses_changes
+
     @property
     def _state_age(self) -> float:
         """Seconds since this host last heard of changes, from the store or from another host."""
--- a/radishshunt/gateway/choice_trial.py
+++ b/radishshunt/gateway/choice_trial.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from radishshunt.gateway.cold_checks import MAX_CHECK_SECONDS
 from radishshunt.gateway.target_choice import MIN_WORK_TIME_SHARE, TargetChooser
 
 if TYPE_CHECKING:
@@ -27,8 +28,10 @@
     """What would happen to a request now.
 
     :param target: Target that it would be sent to; ``None`` while its key has no usable owner.
-    :param waits_for: ``owner`` or ``place``, empty if it would be sent at once.
-    :param wait_until: Time on trio's clock at which it would be refused if the wait had not ended.
+    :param waits_for: ``owner``, ``place`` or ``cold-check`` (the answer whether the target is
+        cold), empty if it would be sent at once.
+    :param wait_until: Time on trio's clock at which the wait ends at the latest; the request would
+        be refused then, or after a ``cold-check`` if the target has not answered.
     """
 
     target: Target | None
@@ -124,6 +127,8 @@
         if not may_send:
             until = deadline - state.load.work_seconds * MIN_WORK_TIME_SHARE
             return Choice(target, "place", until)
+        if self.cold_admission.needs_check(target, service, state.cold_rate_limiter, self.hosts):
+            return Choice(target, "cold-check", now + MAX_CHECK_SECONDS)
         self._admit(target, route, service, attempts)
         return Choice(target)
 
--- a/radishshunt/gateway/link_client.py
+++ b/radishshunt/gateway/link_client.py
@@ -34,6 +34,8 @@
 # state counts as old.
 BACKUP_READ_MARGIN_SECONDS = 0.25
 LEAVE_LEADER_MARGIN_SECONDS = 0.15
+# Updates are overdue after this many intervals.
+OVERDUE_INTERVALS = 2.5
 CONNECT_TIMEOUT_SECONDS = 0.3
 RECONNECT_DELAY_SECONDS = 0.15
 # While a host follows a backup, it tries to reach the leader at this interval.
@@ -79,6 +81,8 @@
         self._seeds = [f"{ip}:{cfg.peer_port}" for ip in cfg.seed_ips if ip != cfg.ip]
         # Time up to which the updates received so far include all changes in the store.
         self._synchronized_at = float("-inf")
+        # Time of the last update on the current link, infinitely long ago without a link.
+        self._heard_at = float("-inf")
         self._was_fresh = False
         self._leader_avoided_until = float("-inf")
         wait = FIRST_START_WAIT_SECONDS if cfg.first_start else START_WAIT_SECONDS
@@ -108,11 +112,24 @@
         if self.fresh:
             return self.is_backup and (
                 self.state_age > self._cfg.bounds.max_state_age_seconds - BACKUP_READ_MARGIN_SECONDS
+                or self.source_lost
             )
         if not self._view.complete and self._view.leader.address != self._own_address:
             return self._view.clock.now() >= self._store_unneeded_until
         return True
 
+    @property
+    def source_lost(self) -> bool:
+        """Whether this host's link has closed, or its updates are overdue."""
+        overdue_seconds = OVERDUE_INTERVALS * message_interval(self.hosts)
+        return self._view.clock.now() - self._heard_at > overdue_seconds
+
+    @property
+    def misses_changes(self) -> bool:
+        """Whether changes in the store may not reach this host through others at this moment."""
+        live_age = self._cfg.bounds.live_state_age_seconds + message_interval(self.hosts)
+        return self.source_lost or self.state_age > live_age
+
     @property
     def is_backup(self) -> bool:
         """Whether other hosts follow this one while the leader is silent."""
@@ -183,6 +200,7 @@
                 await self._receive(stream, address, follow=follow)
                 nursery.cancel_scope.cancel()
         finally:
+            self._heard_at = float("-inf")
             stream.socket.close()
 
     async def _send_reports(self, stream: trio.SocketStream, follow: bool) -> None:
@@ -289,6 +307,7 @@
 
         :raises ProtocolError: If it contains a delta to a row that this host does not have.
         """
+        self._heard_at = self._view.clock.now()
         self._apply_changes(update)
         self._view.set_moving(update.moving)
         self._view.overloaded = update.overloaded
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -12,6 +12,8 @@
 
 from radishshunt.errors import NotRun, OutcomeOfRequestUnknown
 from radishshunt.gateway.attempts import RequestAttempts
+from radishshunt.gateway.cold_admission import ColdAdmission
+from radishshunt.gateway.cold_checks import ColdChecker
 from radishshunt.gateway.crash_checks import CrashChecker, LostRequest
 from radishshunt.gateway.exchange import ExchangeError
 from radishshunt.gateway.messages import Report, TargetWorkTime
@@ -138,7 +140,13 @@
         self._view = view
         self._protocol = protocol
         self._target_model = target_model
-        self.chooser = TargetChooser(cfg, view, rng or Random(), target_model)
+        self.chooser = TargetChooser(
+            cfg,
+            view,
+            rng or Random(),
+            ColdAdmission(cfg, view, ColdChecker(view, protocol)),
+            target_model,
+        )
         self._recorder = ResponseRecorder(view, protocol, self.chooser.work_times, target_model)
         self.retry_budgets = RetryBudgets(cfg, self.chooser)
         self._watched: set[_Attempt] = set()
--- a/radishshunt/gateway/settings.py
+++ b/radishshunt/gateway/settings.py
@@ -6,6 +6,7 @@
 
 APPLY_MARGIN_SECONDS = 0.5
 LONG_POLL_MARGIN_SECONDS = 1.0
+LIVE_STATE_MARGIN_SECONDS = 0.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +66,14 @@
         """
         return self.max_state_age_seconds - LONG_POLL_MARGIN_SECONDS
 
+    @property
+    def live_state_age_seconds(self) -> float:
+        """Age of the state of a host that reads the store above which the store seems to be silent.
+
+        While the store answers, the state is at most as old as a call that waits for changes.
+        """
+        return self.long_poll_seconds + LIVE_STATE_MARGIN_SECONDS
+
 
 @dataclass(frozen=True, slots=True)
 class HostSettings:
--- a/radishshunt/gateway/target_choice.py
+++ b/radishshunt/gateway/target_choice.py
@@ -23,6 +23,7 @@
     from random import Random
 
     from radishshunt.gateway.attempts import RequestAttempts
+    from radishshunt.gateway.cold_admission import ColdAdmission
     from radishshunt.gateway.model import Route, Service, TargetEntry
     from radishshunt.gateway.protocol import CallerRequest
     from radishshunt.gateway.settings import HostSettings
@@ -58,15 +59,22 @@
 
     :param target_model: Learned speeds, if they may be used.
     :ivar hosts: Number of hosts that share the operators' bounds.
+    :ivar cold_admission: Limits requests to cold targets.
     :ivar states: State of each target by :func:`state_key`.
     :ivar work_times: Mean work times of the services.
     :ivar response_costs: Sizes of responses, and the choice by them.
     """
 
     def __init__(
-        self, cfg: HostSettings, view: View, rng: Random, target_model: TargetModel | None = None
+        self,
+        cfg: HostSettings,
+        view: View,
+        rng: Random,
+        cold_admission: ColdAdmission,
+        target_model: TargetModel | None = None,
     ) -> None:
         self.hosts = 12
+        self.cold_admission = cold_admission
         self._target_model = target_model
         self.states: dict[str, TargetState] = {}
         self._cfg = cfg
@@ -81,6 +89,7 @@
     def update_settings(self, cfg: HostSettings) -> None:
         """Apply changed bounds."""
         self._cfg = cfg
+        self.cold_admission.update_settings(cfg)
 
     def state(self, target: Target) -> TargetState:
         """Return the state of a target as observed by this host, creating it if needed."""
@@ -163,8 +172,11 @@
                     ):
                         raise self.overload_error(attempts, "overload", state)
                 if self._can_send(state, place) and not changed.is_set():
-                    self._admit(target, route, service, attempts)
-                    return target
+                    limiter = state.cold_rate_limiter
+                    if not self.cold_admission.needs_check(target, service, limiter, self.hosts):
+                        self._admit(target, route, service, attempts)
+                        return target
+                    await self.cold_admission.check(target, service)
             finally:
                 state.queue.remove(place)
 
@@ -211,11 +223,7 @@
         :raises OutcomeOfRequestUnknown: If the target has reached its rate limit and another target
             may have run the request.
         """
-        if not self._view.is_cold(target) or not service.cold_per_second:
-            return
-        bounds = self._cfg.bounds
-        limit = service.cold_per_second * bounds.cold_multiplier + bounds.cold_slack
-        if not state.cold_rate_limiter.try_acquire(limit, self.hosts, trio.current_time()):
+        if not self.cold_admission.try_admit(target, service, state.cold_rate_limiter, self.hosts):
             raise self.overload_error(attempts, "cold", state)
 
     def _limit_wait(self, target: Target, route: Route, service: Service) -> float:
--- a/radishshunt/platform/fakes.py
+++ b/radishshunt/platform/fakes.py
@@ -14,6 +14,7 @@
 from radishshunt.platform.names import (
     ATTEMPT_ID_HEADER,
     CHANGES_PATH,
+    COLD_MS_HEADER,
     EXPECTED_TARGET_HEADER,
     GRANT_PATH,
     HANDOVER_HEADER,
@@ -152,6 +153,8 @@
     :ivar ran: Attempt ids of the requests that it ran.
     :ivar commands: Paths and documents of the commands that it accepted.
     :ivar command_times: Time of each accepted command on the monotonic clock.
+    :ivar cold_until: Time on the monotonic clock until which the target is cold.
+    :ivar arrived_at: Time of each request that it began to run, on the monotonic clock.
     """
 
     def __init__(self, target_id: str, address: str, service: str, domain: str) -> None:
@@ -164,6 +167,8 @@
         self.server = HttpServer(self._app, address, name=target_id)
         self._service = service
         self._domain = domain
+        self.cold_until = float("-inf")
+        self.arrived_at: list[float] = []
         self._grants: dict[int, tuple[int, float]] = {}
         self._running = 0
 
@@ -177,10 +182,16 @@
                 "Zone": self._domain,
                 "Capacity": 3,
             },
-            "Status": {"State": state, "Sequence": sequence, "WarmupLeftMs": 0},
+            "Status": {"State": state, "Sequence": sequence, "WarmupLeftMs": self._cold_ms},
             "born": self.born,
         }
 
+    @property
+    def _cold_ms(self) -> int:
+        return (
+            max(0, int(1000 * (self.cold_until - time.monotonic()))) if self.cold_until > 0 else 0
+        )
+
     async def _app(self, scope: Any, receive: Any, send: Any) -> None:
         headers = {k.decode(): v.decode() for k, v in scope["headers"]}
         body = await _read_body(receive)
@@ -192,10 +203,13 @@
                 send, self._apply_command(scope["path"], json.loads(body)), {}, response_headers
             )
         elif scope["path"] == "/healthz":
+            if self._cold_ms:
+                response_headers[COLD_MS_HEADER] = str(self._cold_ms)
             await _send_response(send, 200, {}, response_headers)
         elif headers.get(EXPECTED_TARGET_HEADER) != self.id or not self._may_run(headers):
             await _send_response(send, 421, {}, response_headers | {NOT_RUN_HEADER: "1"})
         else:
+            self.arrived_at.append(time.monotonic())
             self._running += 1
             await trio.sleep(SERVICE_SECONDS)
             self._running -= 1
--- a/tests/test_policy/test_policy_direct.py
+++ b/tests/test_policy/test_policy_direct.py
@@ -272,6 +272,15 @@
     assert 0 < max_rate <= limit
 
 
+def test_requests_before_a_target_became_cold_count() -> None:
+    """Guards against a busy target that gets a second share of the limit when it becomes cold."""
+    limiter = ColdRateLimiter()
+    for step in range(10):
+        limiter.record(step / 20, cold=False)
+    assert not limiter.may_send(15.5, 3, 0.5)
+    assert limiter.may_send(15.5, 3, 1.5)
+
+
 def test_weights_hold_over_few_requests() -> None:
     """Guards against random deviations from the weights of a split route."""
     splitter = SmoothWeightedRoundRobin()
