Record requests that crash targets in the store

Cause: suspects were kept in the memory of the hosts only, which outlasts any host but not all of them.

Change: the leader records the 64 most important suspects in one row, newly refused ones at once, others at most every 2 s.

--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -25,6 +25,7 @@
 from radishshunt.gateway.rows import Topic
 from radishshunt.gateway.sender import Sender
 from radishshunt.gateway.suspect_exchange import SuspectExchange
+from radishshunt.gateway.suspect_record import SuspectRecord
 from radishshunt.gateway.view import View
 from radishshunt.http_server import HttpServer
 from radishshunt.logs import decision
@@ -92,6 +93,14 @@
         self.metrics.registry.register(self.sender.chooser.response_costs.traffic)
         self._memory = BodyMemory(body_limit(cfg.memory_bytes), LARGE_REQUESTS_SHARE)
         self.leadership = Leadership(cfg, self.view, store)
+        self._suspect_record = SuspectRecord(
+            self.view,
+            self.leadership,
+            self.quarantine,
+            self._suspects,
+            self._wall_clock,
+            cfg.max_row_bytes,
+        )
         self.load_statistics = ReportedLoadStatistics(self.view.clock, self.target_model)
         self.coordinator = Coordinator(
             cfg, self.view, self.leadership, protocol, self.load_statistics, self.view.clock
@@ -179,6 +188,7 @@
         components["tidy"] = self.sender.clean_up
         components["silence"] = self.sender.watch_silence
         components["losses"] = self.sender.confirm_crashes
+        components["suspects"] = self._suspect_record.run
         await self._supervisor.run(components)
 
     def update_settings(self, cfg: HostSettings) -> None:
