Take no part of a response, and no malformed head, for an answer

Heads with a name that begins with a blank or a line feed were passed on, or followed by a body that was not the target's.

Cause: the kernel reports a reset once, to the sender of the upload, whose knowledge was dropped; the receiver saw a regular end. h11 accepts bare line feeds, folded lines, any version and statuses up to 999.

Change: util/response_heads checks heads strictly, for both readers of targets' answers.

--- a/radishshunt/gateway/exchange.py
+++ b/radishshunt/gateway/exchange.py
@@ -13,6 +13,7 @@
 
 from radishshunt.body_memory import body_buffer, buffered_body
 from radishshunt.errors import NotRun, RadishshuntError
+from radishshunt.util.response_heads import next_response_event
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,6 +33,8 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Number of interim responses (status 1xx) after which an exchange fails.
 MAX_INTERIM_RESPONSES = 8
+# Time in which the end of a request is noticed that was sent before the end of its response.
+SENT_GRACE_SECONDS = 0.05
 # Number of responses to earlier requests after which an exchange fails.
 MAX_STALE_RESPONSES = 3
 
@@ -159,6 +162,7 @@
         :return: The response, and whether the request was sent completely.
         """
         request_sent = False
+        sender_ended = trio.Event()
         responses: list[HttpResponse] = []
         failures: list[Exception] = []
 
@@ -171,11 +175,17 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 # The response may have arrived before the target closed the connection.
                 request_sent = False
+            sender_ended.set()
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(send)
             try:
-                responses.append(await self._receive_matching_response(req))
+                response = await self._receive_matching_response(req)
+                if not _is_self_delimiting(response):
+                    with trio.move_on_after(SENT_GRACE_SECONDS):
+                        await sender_ended.wait()
+                    self._check_not_reset(request_sent=request_sent)
+                responses.append(response)
             except (trio.BrokenResourceError, ExchangeError, h11.RemoteProtocolError) as exc:
                 failures.append(exc)
             nursery.cancel_scope.cancel()
@@ -184,6 +194,17 @@
             raise failures.pop()
         return responses[0], request_sent
 
+    def _check_not_reset(self, *, request_sent: bool) -> None:
+        """Check that the end of the connection was the end of a response without a length.
+
+        A reset is reported once, to whoever sends or receives next; the other one sees a regular
+        end.
+
+        :raises ExchangeError: If the connection may have been reset.
+        """
+        if not request_sent or self._stream.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            raise ExchangeError("connection ended before the request was sent", sent=True)
+
     def _encode(self, http: h11.Connection, req: OutgoingRequest) -> list[bytes]:
         """Return the parts of an encoded request. The body is not copied."""
         head = h11.Request(method=req.method, target=req.target, headers=req.headers)
@@ -216,7 +237,7 @@
         interim_responses = 0
         received = 0
         while True:
-            event = self._http.next_event()
+            event = next_response_event(self._http)
             if event is h11.NEED_DATA:
                 data = await self._stream.receive_some(READ_BYTES)
                 received += len(data)
--- a/radishshunt/target_transport.py
+++ b/radishshunt/target_transport.py
@@ -12,6 +12,8 @@
 import httpx
 import trio
 
+from radishshunt.util.response_heads import next_response_event
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
@@ -194,14 +196,14 @@
     async def next_event(self, timeout: float | None) -> h11.Event:
         """Return the next event of a response, reading from the socket as needed."""
         try:
-            event = self._http.next_event()
+            event = next_response_event(self._http)
             while event is h11.NEED_DATA:
                 with trio.CancelScope(deadline=_deadline(timeout)) as scope:
                     data = await self._stream.receive_some(READ_BYTES)
                 if scope.cancelled_caught:
                     raise httpx.ReadTimeout(f"no data received within {timeout} s")
                 self._http.receive_data(data)
-                event = self._http.next_event()
+                event = next_response_event(self._http)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise httpx.ReadError(str(exc)) from exc
         except h11.RemoteProtocolError as exc:
