Divide the limit of a cold target by tokens where hosts are many

Cause: a host's part of the limit was rounded up to one request.

The leader answers demands also without workspaces.

The users' flood itself was not seen here.

--- a/radishshunt/cmd/explain_gateway.py
+++ b/radishshunt/cmd/explain_gateway.py
@@ -143,6 +143,7 @@
             "owner": "an owner",
             "place": f"a place at {decision['target']}",
             "quota": "tokens of the workspace's quota",
+            "cold-tokens": f"tokens of all hosts for the cold target {decision['target']}",
             "cold-check": "the target's answer whether it is cold",
         }[decision["waits_for"]]
         return f"wait for {what}, up to {decision['wait']:.2f} s"
--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -13,6 +13,8 @@
 from radishshunt.body_memory import LARGE_REQUESTS_SHARE, BodyMemory, body_limit
 from radishshunt.clock import BootClock, SystemClock
 from radishshunt.gateway.caller_api import CallerApi
+from radishshunt.gateway.cold_shares import PREFIX as COLD_PREFIX
+from radishshunt.gateway.cold_shares import find_cold_quota
 from radishshunt.gateway.coordinator import Coordinator
 from radishshunt.gateway.explain_queries import EXPLAIN_PATH, answer_explanation
 from radishshunt.gateway.explanation import ExplainedHost, Explainer
@@ -43,6 +45,7 @@
     from radishshunt.gateway.protocol import TargetProtocol
     from radishshunt.gateway.rows import RowReader, RowStore
     from radishshunt.gateway.settings import HostSettings
+    from radishshunt.policy.shares import Quota
 
 logger = logging.getLogger(__name__)
 
@@ -109,7 +112,7 @@
         self._host_shares = HostShares(self.view.clock, lambda: self._host_count.largest)
         self._leader_shares = LeaderShares(
             self.view.clock,
-            lambda name: find_quota(self.view.cfg, name, self.cfg.bounds),
+            self._find_quota,
             lambda: self.leadership.term,
             self._host_count,
         )
@@ -148,7 +151,7 @@
                 state_age=lambda: self._state_age,
             )
         )
-        self.sender.chooser.cold_admission.misses_changes = self._misses_changes
+        self.sender.chooser.cold_admission.connect(self._misses_changes, self._host_shares)
         self._link_server = LinkServer(
             cfg,
             self.view,
@@ -239,6 +242,12 @@
             return topic is not Topic.OWN
         return self._link_client.store_needed
 
+    def _find_quota(self, name: str) -> Quota | None:
+        """Return the quota of an allowance that all hosts share, ``None`` if there is none."""
+        if name.startswith(COLD_PREFIX):
+            return find_cold_quota(self.view, name, self.cfg.bounds)
+        return find_quota(self.view.cfg, name, self.cfg.bounds)
+
     def _misses_changes(self) -> bool:
         """Return whether changes in the store may not reach this host at this moment."""
         if self.view.followed_age <= self.cfg.bounds.live_state_age_seconds:
@@ -278,8 +287,7 @@
         self._leader_shares.record_report(report.host)
 
     def _grants_own_tokens(self) -> bool:
-        cfg = self.view.cfg
-        return cfg is not None and cfg.workspaces is not None and self.leadership.valid
+        return self.view.cfg is not None and self.leadership.valid
 
     def _grant_own_tokens(self, demands: tuple[AllowanceDemand, ...]) -> tuple[AllowanceGrant, ...]:
         """Return the tokens that this host, which leads, may use itself."""
--- a/radishshunt/gateway/choice_trial.py
+++ b/radishshunt/gateway/choice_trial.py
@@ -15,6 +15,7 @@
 
 from radishshunt.gateway.cold_checks import MAX_CHECK_SECONDS
 from radishshunt.gateway.target_choice import MIN_WORK_TIME_SHARE, TargetChooser
+from radishshunt.shares.host_shares import WAIT_SECONDS
 
 if TYPE_CHECKING:
     from radishshunt.gateway.attempts import RequestAttempts, TargetState
@@ -28,10 +29,11 @@
     """What would happen to a request now.
 
     :param target: Target that it would be sent to; ``None`` while its key has no usable owner.
-    :param waits_for: ``owner``, ``place`` or ``cold-check`` (the answer whether the target is
-        cold), empty if it would be sent at once.
+    :param waits_for: ``owner``, ``place``, ``cold-check`` (the answer whether the target is cold)
+        or ``cold-tokens`` (of all hosts, for a cold target), empty if it would be sent at once.
     :param wait_until: Time on trio's clock at which the wait ends at the latest; the request would
-        be refused then, or after a ``cold-check`` if the target has not answered.
+        be refused then, or after a ``cold-check`` if the target has not answered. Tokens that come
+        in time may still be too few.
     """
 
     target: Target | None
@@ -129,7 +131,14 @@
             return Choice(target, "place", until)
         if self.cold_admission.needs_check(target, service, state.cold_rate_limiter, self.hosts):
             return Choice(target, "cold-check", now + MAX_CHECK_SECONDS)
-        self._admit(target, route, service, attempts)
+        self._check_limit(target, route, service, attempts)
+        limiter = state.cold_rate_limiter
+        admitted = self.cold_admission.try_admit(target, service, limiter, self.hosts)
+        if admitted is None:
+            return Choice(target, "cold-tokens", now + WAIT_SECONDS)
+        if not admitted:
+            raise self.overload_error(attempts, "cold", state)
+        self._count_limited_request(target, route, service)
         return Choice(target)
 
     def _exclusion(self, target: Target, attempts: RequestAttempts) -> str:
--- a/radishshunt/gateway/link_client.py
+++ b/radishshunt/gateway/link_client.py
@@ -215,7 +215,7 @@
         while True:
             cfg = self._view.cfg
             sent_at = self._view.clock.now()
-            # Without workspaces, no report is answered.
+            # Without workspaces, only demands are answered.
             numbered = cfg is None or cfg.workspaces is not None
             demands = ()
             if self._allowances is not None:
@@ -234,7 +234,7 @@
             report = replace(
                 report,
                 configuration=cfg.version if cfg else 0,
-                number=self._sent_reports.add(sent_at) if numbered else 0,
+                number=self._sent_reports.add(sent_at) if numbered or demands else 0,
                 demands=demands,
             )
             await stream.send_all(encode(report))
--- a/radishshunt/gateway/report_answers.py
+++ b/radishshunt/gateway/report_answers.py
@@ -101,7 +101,8 @@
 
         Returned tokens are added up, since each report returns other ones.
         """
-        self._number = report.number
+        # Without workspaces, only reports with demands are numbered.
+        self._number = report.number or self._number
         returned = {name: demand.returned for name, demand in self._demands.items()}
         wanted = {demand.allowance: demand for demand in report.demands}
         self._demands = {
--- a/radishshunt/gateway/target_choice.py
+++ b/radishshunt/gateway/target_choice.py
@@ -174,8 +174,10 @@
                 if self._can_send(state, place) and not changed.is_set():
                     limiter = state.cold_rate_limiter
                     if not self.cold_admission.needs_check(target, service, limiter, self.hosts):
-                        self._admit(target, route, service, attempts)
-                        return target
+                        await self._admit(target, route, service, attempts, deadline)
+                        if not changed.is_set() or self._may_get(target, req, service, attempts):
+                            return target
+                        continue
                     await self.cold_admission.check(target, service)
             finally:
                 state.queue.remove(place)
@@ -201,8 +203,13 @@
             limit=load.limit,
         )
 
-    def _admit(
-        self, target: Target, route: Route, service: Service, attempts: RequestAttempts
+    async def _admit(
+        self,
+        target: Target,
+        route: Route,
+        service: Service,
+        attempts: RequestAttempts,
+        deadline: float,
     ) -> None:
         """Count a request against the rates of its target.
 
@@ -211,20 +218,11 @@
             may have run the request.
         """
         self._check_limit(target, route, service, attempts)
-        self._count_cold_request(target, service, self.state(target), attempts)
-        self._count_limited_request(target, route, service)
-
-    def _count_cold_request(
-        self, target: Target, service: Service, state: TargetState, attempts: RequestAttempts
-    ) -> None:
-        """Count a request against the rate limit of a cold target.
-
-        :raises NotRun: If the target has reached its rate limit.
-        :raises OutcomeOfRequestUnknown: If the target has reached its rate limit and another target
-            may have run the request.
-        """
-        if not self.cold_admission.try_admit(target, service, state.cold_rate_limiter, self.hosts):
+        state = self.state(target)
+        limiter = state.cold_rate_limiter
+        if not await self.cold_admission.admit(target, service, limiter, self.hosts, deadline):
             raise self.overload_error(attempts, "cold", state)
+        self._count_limited_request(target, route, service)
 
     def _limit_wait(self, target: Target, route: Route, service: Service) -> float:
         """Return the seconds until a target takes a request from this host, by its named limit."""
@@ -303,6 +301,16 @@
         if not self._can_meet_deadline(target, route, service, deadline):
             raise self.overload_error(attempts, "overload", state)
 
+    def _may_get(
+        self, target: Target, req: CallerRequest, service: Service, attempts: RequestAttempts
+    ) -> bool:
+        """Return whether a target that was chosen may still get the request."""
+        if not service.keyed or req.key is None:
+            current = self._view.targets.get(target.entry.id)
+            return current is not None and not self._exclusion(current, attempts)
+        owner, _ = self._usable_owner(req.key, service, attempts)
+        return owner is not None and owner.entry.id == target.entry.id
+
     def _usable_owner(
         self, key: int, service: Service, attempts: RequestAttempts
     ) -> tuple[Target | None, int]:
--- a/radishshunt/policy/share_leases.py
+++ b/radishshunt/policy/share_leases.py
@@ -59,6 +59,8 @@
 # parts, two of three requests were refused in this time although the quota had room.
 RECENT_SECONDS = 6.0
 EVEN_PART = 0.15
+# Time after the first demand on a link in which its answer is waited for.
+UNANSWERED_SECONDS = 0.25
 # Limits of Retry-After.
 MIN_RETRY_SECONDS = 0.2
 MAX_RETRY_SECONDS = 5.0
@@ -389,6 +391,12 @@
         """Return whether no demand is under way."""
         return self._asked_at is None or now >= self._asked_at + CONTACT_SECONDS
 
+    def is_unused(self, now: float) -> bool:
+        """Return whether the leader was not asked lately, so that its silence says nothing."""
+        if now < self.until:
+            return False
+        return self._asked_at is None or now < self._asked_at + UNANSWERED_SECONDS
+
     def on_asked(self, now: float) -> None:
         """Record a report that states demands."""
         self._asked_at = now
--- a/radishshunt/policy/shares.py
+++ b/radishshunt/policy/shares.py
@@ -53,6 +53,8 @@
     :param window_seconds: Time window in which operators count.
     :param excess: Share by which the tokens used in a window may exceed the quota.
     :param slack: Tokens by which they may exceed it in addition.
+    :param starts_full: Whether the tokens since the start of the leader's term may be granted when
+        the allowance is first used.
     """
 
     rate: float
@@ -60,6 +62,7 @@
     window_seconds: float = 5.0
     excess: float = 0.1
     slack: float = 20.0
+    starts_full: bool = True
 
     @property
     def tolerance(self) -> float:
--- a/radishshunt/shares/host_shares.py
+++ b/radishshunt/shares/host_shares.py
@@ -101,15 +101,21 @@
         self._asked: tuple[str, ...] = ()
         self._urgent = trio.Event()
 
-    async def acquire(self, name: str, quota: Quota, deadline: float) -> ShareToken | ShareRefusal:
+    async def acquire(
+        self, name: str, quota: Quota, deadline: float, *, ask_first: bool = False
+    ) -> ShareToken | ShareRefusal:
         """Return a token for a request, or why it gets none.
 
         :param name: Name of the allowance.
         :param deadline: Time on trio's clock until which the request may wait.
+        :param ask_first: Whether the leader is asked before the safe share is used, if it has not
+            been asked lately. Allowances that are used all the time need not.
         """
         allowance, now = self._allowance(name, quota), self._clock.now()
         allowance.lease.count_request(now)
-        result = self._decide(name, allowance, now)
+        result = None
+        if not (ask_first and self._contact.is_unused(now)):
+            result = self._decide(name, allowance, now)
         if result is not None:
             return result
         waiter = _Waiter()
--- a/radishshunt/shares/leader_shares.py
+++ b/radishshunt/shares/leader_shares.py
@@ -76,7 +76,8 @@
         bucket = self._buckets.get(allowance)
         if bucket is None:
             # Nothing has been granted of it in this term, so all since then may be.
-            bucket = self._buckets[allowance] = SharedBucket(quota, self._term_started_at)
+            since = self._term_started_at if quota.starts_full else now
+            bucket = self._buckets[allowance] = SharedBucket(quota, since)
         elif bucket.quota != quota:
             bucket.resize(quota, now, linked_share)
         return bucket
--- a/tests/test_gateway/test_gateway_suspect_record.py
+++ b/tests/test_gateway/test_gateway_suspect_record.py
@@ -9,68 +9,27 @@
 
 from radishshunt.clock import SystemClock
 from radishshunt.errors import ProtocolError
-from radishshunt.gateway.app import GatewayHost
-from radishshunt.gateway.settings import HostSettings
 from radishshunt.gateway.suspect_record import decode_suspects, encode_suspects
-from radishshunt.platform.catalog import CatalogReader
 from radishshunt.platform.fakes import FakeStore
-from radishshunt.platform.names import READY_PATH
-from radishshunt.platform.store import HttpRowStore
-from radishshunt.platform.target_protocol import HttpTargetProtocol
 from radishshunt.suspect import Suspect
+from tests.support.gateway_hosts import GatewayHosts
 from tests.test_gateway.conftest import CONFIGURATION
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+    from radishshunt.gateway.app import GatewayHost
+
 HOSTS = 3
 POISON, HARMLESS = 17, 18
 
 
-class _System:
+class _System(GatewayHosts):
     """Hosts that all end and start again, and a store that goes on."""
 
     def __init__(self, store: FakeStore, ips: list[str], nursery: trio.Nursery) -> None:
+        super().__init__(store, ips, nursery)
         self.store = store
-        self.hosts: list[GatewayHost] = []
-        self._ips = ips
-        self._nursery = nursery
-        self._scopes: list[trio.CancelScope] = []
-
-    async def restart_all(self) -> None:
-        """End all hosts at once, and start them again with nothing in memory."""
-        for scope in self._scopes:
-            scope.cancel()
-        await trio.sleep(0.1)
-        self.hosts, self._scopes = [], []
-        for number, ip in enumerate(self._ips):
-            cfg = HostSettings(
-                name=f"edge-{number}",
-                ip=ip,
-                domain="munich",
-                callers_address=f"{ip}:8080",
-                readiness_address=f"{ip}:8081",
-                peer_port=7660,
-                metrics_port=7661,
-                store_address=self.store.server._address,
-                seed_ips=tuple(self._ips),
-            )
-            store = HttpRowStore(self.store.server._address)
-            host = GatewayHost(cfg, store, CatalogReader(), HttpTargetProtocol(), READY_PATH)
-            scope = trio.CancelScope()
-            self.hosts.append(host)
-            self._scopes.append(scope)
-            self._nursery.start_soon(self._run, host, scope)
-
-    async def _run(self, host: GatewayHost, scope: trio.CancelScope) -> None:
-        with scope:
-            await host.run()
-
-    async def wait_until(self, reached: Callable[[GatewayHost], bool]) -> None:
-        """Wait until a condition holds on all hosts."""
-        with trio.fail_after(12.0):
-            while not all(reached(host) for host in self.hosts):
-                await trio.sleep(0.002)
 
     def is_refused(self, host: GatewayHost, fingerprint: int) -> bool:
         return host.quarantine.is_quarantined(fingerprint, "", SystemClock().now())
@@ -85,7 +44,7 @@
         await nursery.start(store.server.run)
         store.put("op", "config", CONFIGURATION)
         system = _System(store, ips, nursery)
-        await system.restart_all()
+        system.start(first=False)
         await system.wait_until(lambda host: host.view.complete)
         with trio.fail_after(10.0):
             while not any(host.leadership.valid for host in system.hosts):
