--- a/radishshunt/gateway/link_server.py
+++ b/radishshunt/gateway/link_server.py
@@ -162,7 +162,7 @@
         """Answer the last report on a link whose queue has all changes that this host applied."""
         number, demands = link.unanswered.take()
         cfg = self._view.cfg
-        if not number or cfg is None:
+        if not number or cfg is None or (cfg.workspaces is None and not demands):
             return
         grants = self._grant_tokens(link.host, demands) if self._is_leader() else ()
         age = self._view.confirmation.age(self._view.clock.now())
