--- a/radishshunt/gateway/link_client.py
+++ b/radishshunt/gateway/link_client.py
@@ -307,8 +307,8 @@
 
         :raises ProtocolError: If it contains a delta to a row that this host does not have.
         """
-        self._heard_at = self._view.clock.now()
         self._apply_changes(update)
+        self._heard_at = self._view.clock.now()
         self._view.set_moving(update.moving)
         self._view.overloaded = update.overloaded
         self._suspects.merge(update.suspects)
--- a/radishshunt/gateway/view.py
+++ b/radishshunt/gateway/view.py
@@ -33,6 +33,10 @@
 REREGISTRATION_SECONDS = 2.2
 # Maximum use of a target after it left; below the 2 s that operators allow.
 MAX_LEAVING_USE_SECONDS = 1.6
+# A change that is heard of without delay is at most this old.
+NOTICED_SECONDS = 0.3
+# A host that has heard nothing for longer counts a target as having left this long ago.
+MAX_MISSED_SECONDS = 10.0
 # Time for which an absent target is kept. It exceeds every grant, so that the end of a former
 # owner's process is still recognised.
 GONE_RETENTION_SECONDS = 30.0
@@ -88,6 +92,9 @@
         self._store_answered_at = clock.now()
         self.confirmation = Confirmation()
         self.statements = TargetStatements()
+        # Whether changes may not have reached this host until now, and for how long, in seconds.
+        self.misses_changes: Callable[[], bool] = lambda: False
+        self.state_age: Callable[[], float] = lambda: self.followed_age
 
     @property
     def key_maps(self) -> dict[str, KeyIndex]:
@@ -451,7 +458,7 @@
         if old is not None and old.entry.incarnation == entry.incarnation and not old.gone:
             target.leaving_since = old.leaving_since if entry.draining else None
         if entry.draining and target.leaving_since is None:
-            target.leaving_since = now
+            target.leaving_since = self._earliest_change()
         target.apply_stated(self._stated(entry))
         self.targets[entry.id] = target
         self._index_services()
@@ -487,9 +494,17 @@
                 target.gone = True
                 target.expired_in_outage = now - self._outage_ended_at < REREGISTRATION_SECONDS
                 if target.leaving_since is None:
-                    target.leaving_since = now
+                    expired = target.expired_in_outage
+                    target.leaving_since = now if expired else self._earliest_change()
                 decision("target-gone", target=key, lapsed=target.expired_in_outage)
 
+    def _earliest_change(self) -> float:
+        """Return since when an entry may have had the state that this host hears of now."""
+        now = self.clock.now()
+        if not self.misses_changes():
+            return now
+        return now - min(MAX_MISSED_SECONDS, max(0.0, self.state_age() - NOTICED_SECONDS))
+
     def _index_services(self) -> None:
         by_service: dict[str, list[Target]] = {}
         for target in self.targets.values():
--- a/tests/test_gateway/test_gateway_view.py
+++ b/tests/test_gateway/test_gateway_view.py
@@ -74,6 +74,22 @@
     assert not view.may_use(target, owner=True)
 
 
+@pytest.mark.parametrize("value", [entry_value(State="draining"), None])
+async def test_target_that_left_unheard_is_not_used_for_longer_than_others(
+    autojump_clock: object, view: View, value: bytes | None
+) -> None:
+    """Guards against a time of use that starts when the host hears of a change, seconds late."""
+    apply_row(view, Topic.TARGETS, "i-1", entry_value(), 1)
+    view.state_age = lambda: 1.4
+    view.misses_changes = lambda: True
+    apply_row(view, Topic.TARGETS, "i-1", value, 2)
+    target = view.targets["i-1"]
+    assert view.may_use(target, owner=True) == (value is not None)
+    # Two seconds after the earliest time at which it can have left.
+    await trio.sleep(0.6)
+    assert not view.may_use(target, owner=True)
+
+
 async def test_target_whose_entry_expired_in_an_outage_is_used_until_it_can_register_again(
     autojump_clock: object, view: View
 ) -> None:
