Use safe shares for cold targets while no leader is linked

Requests to a cold target waited 0.25 s and were refused for as long as a host had no link, on deployments with more hosts than the target takes requests: the leader counted as not asked yet. Now requests wait in the first quarter of each second only; in the rest the safe share of the host decides.

--- a/radishshunt/policy/share_leases.py
+++ b/radishshunt/policy/share_leases.py
@@ -59,7 +59,7 @@
 # parts, two of three requests were refused in this time although the quota had room.
 RECENT_SECONDS = 6.0
 EVEN_PART = 0.15
-# Time after the first demand on a link in which its answer is waited for.
+# Time for which requests wait for a leader that has not answered lately.
 UNANSWERED_SECONDS = 0.25
 # Limits of Retry-After.
 MIN_RETRY_SECONDS = 0.2
@@ -373,6 +373,7 @@
         # Time at which the link ended over which the leader has answered last.
         self._link_ended_at = float("inf")
         self._asked_at: float | None = None
+        self._wait_began_at = float("-inf")
 
     def start_link(self, now: float) -> None:
         """Record a new link: a demand that is under way will not be answered."""
@@ -391,11 +392,18 @@
         """Return whether no demand is under way."""
         return self._asked_at is None or now >= self._asked_at + CONTACT_SECONDS
 
-    def is_unused(self, now: float) -> bool:
-        """Return whether the leader was not asked lately, so that its silence says nothing."""
+    def begin_wait(self, now: float) -> bool:
+        """Return whether a request waits for the leader although it has not answered lately.
+
+        It was not asked lately either if nothing needed tokens, so that its silence says nothing.
+        Requests wait in the first part of each :data:`~radishshunt.policy.shares.CONTACT_SECONDS`;
+        in the rest, the host uses its safe share.
+        """
         if now < self.until:
             return False
-        return self._asked_at is None or now < self._asked_at + UNANSWERED_SECONDS
+        if now >= self._wait_began_at + CONTACT_SECONDS:
+            self._wait_began_at = now
+        return now < self._wait_began_at + UNANSWERED_SECONDS
 
     def on_asked(self, now: float) -> None:
         """Record a report that states demands."""
--- a/radishshunt/shares/host_shares.py
+++ b/radishshunt/shares/host_shares.py
@@ -108,13 +108,13 @@
 
         :param name: Name of the allowance.
         :param deadline: Time on trio's clock until which the request may wait.
-        :param ask_first: Whether the leader is asked before the safe share is used, if it has not
-            been asked lately. Allowances that are used all the time need not.
+        :param ask_first: Whether the leader is asked before the safe share is used, although it
+            has not answered lately. For allowances that are seldom used.
         """
         allowance, now = self._allowance(name, quota), self._clock.now()
         allowance.lease.count_request(now)
         result = None
-        if not (ask_first and self._contact.is_unused(now)):
+        if not (ask_first and self._contact.begin_wait(now)):
             result = self._decide(name, allowance, now)
         if result is not None:
             return result
--- a/tests/test_shares/test_shares_messages.py
+++ b/tests/test_shares/test_shares_messages.py
@@ -136,3 +136,21 @@
     ):
         unanswered.record(Report("edge-1", {}, number=number, demands=(demand,)))
     assert unanswered.take() == (2, (AllowanceDemand(NAME, 1.0, 4.0, 4.0),))
+
+
+async def test_seldom_used_allowance_falls_back_to_the_safe_share_without_a_leader(
+    autojump_clock: object,
+) -> None:
+    """Guards against requests that all wait for a leader that nobody hears, and are refused."""
+    shares = HostShares(TrioClock(), lambda: 4, Random(1))
+    quota = Quota(rate=40.0, burst=0.0, slack=20.0)
+    waits, admitted = [], 0
+    for _ in range(40):
+        asked_at = trio.current_time()
+        result = await shares.acquire("cold/1/i-1", quota, asked_at + 1.0, ask_first=True)
+        waits.append(trio.current_time() - asked_at)
+        admitted += isinstance(result, ShareToken)
+        await trio.sleep(0.1)
+    assert max(waits) <= 0.26
+    assert sum(waits) / len(waits) < 0.1
+    assert admitted >= 10
