Keep the keys of a leaving target until the store answers

Cause: the leader started the moves at once, though a move needs a write after the release. Now a target that only states it keeps its keys until the store has answered since; it gets no further ones.

--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -227,9 +227,7 @@
                 and grants.failing_since is not None
                 and self._clock.now() - grants.failing_since > RENEWAL_FAILURE_SECONDS
             )
-            may_hold_keys = self._may_hold_keys(target) and not renewals_failing
-            if grants is not None and grants.process_ended:
-                may_hold_keys = False
+            lost = renewals_failing or (grants is not None and grants.process_ended)
             cold = self._view.is_cold(target)
             limit = cold_limit = math.inf
             if cold and service.cold_per_second:
@@ -245,17 +243,32 @@
             targets[entry.id] = RangeTarget(
                 id=entry.id,
                 capacity=min(capacity, NAMED_LIMIT_PLAN_FACTOR * named_limit),
-                accepts_keys=may_hold_keys,
-                keeps_keys=may_hold_keys,
+                accepts_keys=self._accepts_keys(target) and not lost,
+                keeps_keys=self._keeps_keys(target) and not lost,
                 load_limit=limit,
                 named_limit=not math.isinf(named_limit),
                 cold_limit=cold_limit,
             )
         return targets
 
-    def _may_hold_keys(self, target: Target) -> bool:
+    def _accepts_keys(self, target: Target) -> bool:
         return target.leaving_since is None and target.entry.domain not in self._view.evacuated
 
+    def _keeps_keys(self, target: Target) -> bool:
+        """Return whether the keys of a target may stay with it.
+
+        Keys that are released while the store is silent have no owner until it answers, so that
+        those of a target that only states that it is leaving move once the store has answered.
+        """
+        if self._accepts_keys(target):
+            return True
+        stated_only = not target.entry.draining and not target.gone
+        return (
+            stated_only
+            and target.entry.domain not in self._view.evacuated
+            and not self._view.store_answered_since(target.leaving_since or 0.0)
+        )
+
     def _owner_is_current(self, key_range: KeyRange) -> bool:
         """Return whether no other incarnation of a range's owner is registered."""
         target = self._view.targets.get(key_range.target)
--- a/radishshunt/gateway/view.py
+++ b/radishshunt/gateway/view.py
@@ -127,6 +127,10 @@
             self._outage_ended_at = self.clock.now()
         self._store_answered_at = max(self._store_answered_at, answered_at)
 
+    def store_answered_since(self, time: float) -> bool:
+        """Return whether the store has answered, directly or through another host, since a time."""
+        return self._store_answered_at > time
+
     @property
     def seconds_since_store_answer(self) -> float:
         """Seconds since the last answer of the store, direct or through another host."""
--- a/tests/test_gateway/test_gateway_coordinator.py
+++ b/tests/test_gateway/test_gateway_coordinator.py
@@ -20,6 +20,7 @@
 from radishshunt.gateway.target_grants import OUTAGE_GRANT_SECONDS
 from radishshunt.placement.key_ranges import KeyRangeMove
 from radishshunt.platform.target_protocol import HttpTargetProtocol
+from radishshunt.policy.direct.target_statements import TargetStatement
 from tests.test_gateway.conftest import CONFIGURATION, apply_row, entry_value
 
 if TYPE_CHECKING:
@@ -320,6 +321,33 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_keys_of_a_target_that_states_it_is_leaving_move_once_the_store_answers(
+    autojump_clock: object,
+    view: View,
+    store: MemoryStore,
+    cfg: HostSettings,
+    fake_targets: FakeTargets,
+) -> None:
+    """Guards against keys that are released while no new owner can be written."""
+    coordinator = _coordinator(view, store, cfg, ReportedLoadStatistics(view.clock))
+    _register_targets(view, fake_targets, 4)
+    statement = TargetStatement("i-0", 1, leaving_age=0.0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_follow_store, view, store)
+        nursery.start_soon(coordinator.run)
+        await trio.sleep(4.0)
+        store.down = True
+        await trio.sleep(0.1)
+        view.record_statements((statement,), own=True)
+        await trio.sleep(1.2)
+        assert not fake_targets.fences("release")
+        store.down = False
+        await trio.sleep(2.5)
+        assert "i-0" not in {r.target for r in decode_key_map(store.rows[KEY_MAP_ROW].value).ranges}
+        _assert_one_owner_per_key(store, fake_targets, 4)
+        nursery.cancel_scope.cancel()
+
+
 async def test_entry_of_another_writer_does_not_give_away_the_keys_of_a_target(
     autojump_clock: object,
     view: View,
