Take tokens only for targets that are known to be cold

While no host led, all requests of many hosts were refused as cold or waited for tokens: a target that merely was not known to be warm counted like a cold one.

Now such a target is asked before it gets more than a host's share, as with few hosts, and needs no tokens.

--- a/radishshunt/gateway/cold_admission.py
+++ b/radishshunt/gateway/cold_admission.py
@@ -116,11 +116,13 @@
         """Return the limit whose tokens the leader divides, 0 if each host has its own share.
 
         If each of more hosts than the limit allows sends one request in a second, that is too many.
+        Targets of which a host only does not know that they are warm need no tokens: the leader may
+        be away, and they are asked before they get more than this host's share.
         """
         limit = self._limit(service)
-        if self._shares is None or hosts <= limit or not self._counts_as_cold(target, service):
+        if self._shares is None or hosts <= limit or not self._view.is_cold(target):
             return 0.0
-        return limit
+        return limit if service.cold_per_second else 0.0
 
     def _counts_as_cold(self, target: Target, service: Service) -> bool:
         """Return whether a target is cold, or may be without this host having heard of it."""
--- a/tests/test_gateway/test_gateway_cold_targets.py
+++ b/tests/test_gateway/test_gateway_cold_targets.py
@@ -139,3 +139,28 @@
                 await trio.sleep(0.3)
     assert 0 < system.most_in_a_second() <= MAX_REQUESTS_PER_SECOND
     assert set(system.statuses) <= {200, 503}
+
+
+async def test_targets_that_are_not_known_to_be_cold_are_used_without_a_leader(
+    loopback: Callable[[], str],
+) -> None:
+    """Guards against many hosts that refuse all requests while no host leads and none is cold."""
+    async with _running_system(loopback, 17) as system:
+        await system.hosts.wait_until(
+            lambda host: host.sender.chooser.hosts == len(system.hosts.hosts)
+        )
+        # The leader has no move of keys under way that its end would leave open.
+        await system.hosts.wait_until(lambda host: not host.view.moving)
+        await trio.sleep(1.0)
+        await system.hosts.wait_until(lambda host: not host.view.moving)
+        others = [host for host in system.hosts.hosts if not host.leadership.valid]
+        system.store.down = True
+        system.hosts.end(system.hosts.leader)
+        await trio.sleep(1.2)
+        async with httpx.AsyncClient(trust_env=False) as client:
+            for _ in range(2):
+                async with trio.open_nursery() as nursery:
+                    for host in others[:4]:
+                        nursery.start_soon(system.send, client, host)
+                await trio.sleep(0.2)
+    assert system.statuses == [200] * 8, system.statuses
