Count the use of leaving targets from before their change

Cause: the 1.6 s for which the owner of a key is used were counted from when a host heard of the change. Only if changes could not reach the host were they counted from an earlier time, and a state of up to 0.9 s counted as reached. Nothing added the two up. The times were also taken when this host's process read a message, so that its own lateness was in none of them.

Change: each row carries a time before which it did not have its state. The host that reads the store determines it from its reads and the store's clock; hosts translate it to their own clock by the fastest of their messages. The use ends at this time plus the operators' bound less 0.35 s.

Why it works: the sum no longer contains the time until a host hears of the change, so that lateness on any step before does not extend the use.

The test of unheard changes set attributes that are gone; its replacement allows 1.7 s instead of 2.0 s.

--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -28,6 +28,7 @@
 from radishshunt.gateway.sender import Sender
 from radishshunt.gateway.suspect_exchange import SuspectExchange
 from radishshunt.gateway.suspect_record import SuspectRecord
+from radishshunt.gateway.time_budgets import log_exceeded_budgets
 from radishshunt.gateway.view import View
 from radishshunt.http_server import HttpServer
 from radishshunt.logs import decision
@@ -152,8 +153,7 @@
             )
         )
         self.sender.chooser.cold_admission.use_links(self._misses_changes, self._host_shares)
-        self.view.misses_changes = self._misses_changes
-        self.view.state_age = lambda: self._state_age
+        self.view.update_bounds(cfg.bounds)
         self._link_server = LinkServer(
             cfg,
             self.view,
@@ -179,6 +179,7 @@
     async def run(self) -> None:
         """Serve until cancelled."""
         decision("start", callers=self.cfg.callers_address, domain=self.cfg.domain)
+        log_exceeded_budgets(self.cfg.bounds)
         components = {f"follow-{t.value}": self._follower(t).run for t in Topic}
         components["callers"] = self._caller_server.run
         components["ready"] = self._readiness_server.run
@@ -199,7 +200,9 @@
     def update_settings(self, cfg: HostSettings) -> None:
         """Apply changed bounds; addresses change only at a restart."""
         decision("reload", changed=cfg.bounds != self.cfg.bounds)
+        log_exceeded_budgets(cfg.bounds)
         self.cfg = replace(self.cfg, bounds=cfg.bounds, explain_from=cfg.explain_from)
+        self.view.update_bounds(self.cfg.bounds)
         self.sender.update_settings(self.cfg)
         self._link_client.update_settings(self.cfg)
         self.coordinator.update_settings(self.cfg)
--- a/radishshunt/gateway/follower.py
+++ b/radishshunt/gateway/follower.py
@@ -12,6 +12,7 @@
 from radishshunt.gateway.rows import HistoryLost, Topic, restore_count
 from radishshunt.logs import decision
 from radishshunt.util.backoff import Backoff
+from radishshunt.util.remote_clock import RemoteClock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -30,6 +31,8 @@
 MIN_BACKOFF_SECONDS = 0.1
 MAX_BACKOFF_SECONDS = 0.8
 NEED_CHECK_SECONDS = 0.1
+# A call that waits for changes and is answered later than this found none when it arrived.
+AT_ONCE_SECONDS = 0.05
 
 
 class Follower:
@@ -57,6 +60,7 @@
         self._store_lost = False
         # Restores of the store up to which this host has itself read the whole topic.
         self._read_restores = 0
+        self._store_clock = RemoteClock()
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -85,6 +89,7 @@
 
     async def _fetch(self, wait_seconds: float) -> None:
         started_at = self._view.clock.now()
+        complete_until = self._view.complete_until(self._topic)
         version = self._view.versions[self._topic]
         try:
             if version and not self._missed_restore(version):
@@ -95,13 +100,27 @@
             decision("history-lost", topic=self._topic.value, version=version)
             change = await self._store.read(self._topic)
         self._view.record_store_answer()
-        self._view.apply(change)
+        read_at = self._read_time(change, started_at)
+        if wait_seconds and not change.whole and read_at - started_at > AT_ONCE_SECONDS:
+            # The store had nothing to return until now.
+            complete_until = max(complete_until, read_at - AT_ONCE_SECONDS)
+        self._view.apply(change.with_rows_changed_after(complete_until))
         self._read_restores = restore_count(change.version)
         if self._read_restores == restore_count(self._view.versions[self._topic]):
-            self._view.mark_up_to_date(self._topic)
+            self._view.mark_up_to_date(self._topic, read_at)
             if self._topic is Topic.OPERATOR:
                 self._view.confirmation.confirm(started_at)
 
+    def _read_time(self, change: Change, started_at: float) -> float:
+        """Return the time on the host's clock at which the store read a change.
+
+        :param started_at: Time at which the call was sent.
+        """
+        now = self._view.clock.now()
+        if not change.time_ms:
+            return now
+        return self._store_clock.local_time(change.time_ms / 1000, now, sent_after=started_at)
+
     def _missed_restore(self, version: int) -> bool:
         """Return whether only a host that this one followed has compared its rows with the copy."""
         restores = restore_count(version)
--- a/radishshunt/gateway/gateway.capnp
+++ b/radishshunt/gateway/gateway.capnp
@@ -10,6 +10,8 @@
   gone @3 :Bool;
   # Version of the row on which a delta is based; 0 if the value is complete.
   base @4 :UInt64;
+  # Time of the sender's clock before which the row did not have this state; -inf if unknown.
+  changedAfter @5 :Float64 = -inf;
 }
 
 struct Change {
@@ -44,6 +46,9 @@
   # Estimates that have changed, or all of them in the first update of a link.
   targetSpeeds @8 :List(TargetSpeed);
   statements @9 :List(TargetStatement);
+  # Time of the sender's clock, and the time up to which it knows all changes; -inf if unknown.
+  sentAt @10 :Float64;
+  completeUntil @11 :Float64 = -inf;
 }
 
 # What a process of a target has stated about itself.
--- a/radishshunt/gateway/link_client.py
+++ b/radishshunt/gateway/link_client.py
@@ -17,6 +17,7 @@
 from radishshunt.gateway.report_answers import SentReports
 from radishshunt.gateway.row_deltas import decode_deltas
 from radishshunt.logs import decision
+from radishshunt.util.remote_clock import RemoteClock
 from radishshunt.util.streams import ConnectFailed, connect
 
 if TYPE_CHECKING:
@@ -79,8 +80,8 @@
         self._target_model = target_model
         self._own_address = f"{cfg.ip}:{cfg.peer_port}"
         self._seeds = [f"{ip}:{cfg.peer_port}" for ip in cfg.seed_ips if ip != cfg.ip]
-        # Time up to which the updates received so far include all changes in the store.
-        self._synchronized_at = float("-inf")
+        # Clock of the other end of the current link.
+        self._remote_clock = RemoteClock()
         # Time of the last update on the current link, infinitely long ago without a link.
         self._heard_at = float("-inf")
         self._was_fresh = False
@@ -138,7 +139,7 @@
     @property
     def state_age(self) -> float:
         """Seconds since the updates received so far last included all changes in the store."""
-        return self._view.clock.now() - self._synchronized_at
+        return self._view.linked_age
 
     async def run(self) -> None:
         """Keep a link to the leader or to a backup until cancelled."""
@@ -190,6 +191,7 @@
     async def _connect(self, address: str, *, follow: bool) -> None:
         stream = await connect(address, CONNECT_TIMEOUT_SECONDS)
         self._sent_reports, self._leader_answers = SentReports(), False
+        self._remote_clock = RemoteClock()
         if self._allowances is not None:
             self._allowances.start_link()
         try:
@@ -287,9 +289,17 @@
                 self._leader_avoided_until = self._view.clock.now() + LEADER_CHECK_SECONDS
                 return
 
-    def _apply_changes(self, update: StateUpdate) -> None:
+    def _apply_changes(self, update: StateUpdate) -> float:
+        """Apply the rows of an update.
+
+        :return: Seconds by which this host's clock is ahead of the sender's.
+        """
+        sent_at = self._remote_clock.local_time(update.sent_at, self._view.clock.now())
+        clock_difference = sent_at - update.sent_at
         for change in update.changes:
-            self._view.apply(decode_deltas(change, self._view.rows[change.topic]))
+            decoded = decode_deltas(change, self._view.rows[change.topic])
+            self._view.apply(decoded.with_clock_shifted(clock_difference))
+        return clock_difference
 
     def _apply_hint(self, update: StateUpdate) -> None:
         """Learn from a host that does not lead who does.
@@ -307,7 +317,7 @@
 
         :raises ProtocolError: If it contains a delta to a row that this host does not have.
         """
-        self._apply_changes(update)
+        clock_difference = self._apply_changes(update)
         self._heard_at = self._view.clock.now()
         self._view.set_moving(update.moving)
         self._view.overloaded = update.overloaded
@@ -318,8 +328,9 @@
         self.hosts = update.hosts
         self.backups = update.backups
         if all(self._view.versions.values()):
-            self._synchronized_at = max(
-                self._synchronized_at, self._view.clock.now() - update.followed_age
+            self._view.record_linked_state(
+                update.sent_at + clock_difference - update.followed_age,
+                update.complete_until + clock_difference,
             )
             if update.followed_age < self._cfg.bounds.max_state_age_seconds:
                 self._view.record_store_answer(update.followed_age)
--- a/radishshunt/gateway/link_server.py
+++ b/radishshunt/gateway/link_server.py
@@ -190,6 +190,8 @@
             backups=self.backups,
             target_speeds=target_speeds,
             statements=statements,
+            sent_at=self._view.clock.now(),
+            complete_until=min(map(self._view.complete_until, (Topic.OPERATOR, Topic.TARGETS))),
         )
 
     def _queue_change(self, change: Change | None) -> None:
@@ -238,6 +240,7 @@
                 hosts=self.known_hosts,
                 changes=changes,
                 backups=self.backups,
+                sent_at=self._view.clock.now(),
             )
         )
 
--- a/radishshunt/gateway/messages.py
+++ b/radishshunt/gateway/messages.py
@@ -64,6 +64,9 @@
     :param target_speeds: Estimates that have changed, or all in the first update of a link.
     :param statements: What targets have stated about themselves since the last update, or all of it
         in the first update of a link.
+    :param sent_at: Time of the sender's clock, to which the times of the rows refer.
+    :param complete_until: Time of the sender's clock up to which it knows all changes by operators
+        and targets.
     """
 
     leading: bool
@@ -76,6 +79,8 @@
     backups: tuple[str, ...] = ()
     target_speeds: tuple[TargetSpeed, ...] = ()
     statements: tuple[TargetStatement, ...] = ()
+    sent_at: float = 0.0
+    complete_until: float = -math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -190,6 +195,8 @@
             "leading": msg.leading,
             "hosts": msg.hosts,
             "followedAge": msg.followed_age,
+            "sentAt": msg.sent_at,
+            "completeUntil": msg.complete_until,
             "changes": [_change_fields(change) for change in msg.changes],
             "moving": [
                 {"service": service, "first": first, "last": last}
@@ -304,6 +311,7 @@
                 "value": row.value or b"",
                 "gone": row.value is None,
                 "base": row.base,
+                "changedAfter": row.changed_after,
             }
             for row in change.rows
         ],
@@ -345,7 +353,13 @@
         Change(
             Topic(change.topic),
             tuple(
-                Row(row.key, row.version, None if row.gone else bytes(row.value), row.base)
+                Row(
+                    row.key,
+                    row.version,
+                    None if row.gone else bytes(row.value),
+                    row.base,
+                    row.changedAfter,
+                )
                 for row in change.rows
             ),
             change.version,
@@ -376,6 +390,8 @@
             for item in news.targetSpeeds
         ),
         _decode_statements(news.statements),
+        news.sentAt,
+        news.completeUntil,
     )
 
 
--- a/radishshunt/gateway/rows.py
+++ b/radishshunt/gateway/rows.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -40,12 +40,15 @@
     :param value: Content, ``None`` if the row was removed.
     :param base: Version that the value is a delta against, in messages between hosts; 0 if the
         value is complete.
+    :param changed_after: Time on the host's clock before which the row did not have this state,
+        ``-inf`` if unknown.
     """
 
     key: str
     version: int
     value: bytes | None
     base: int = 0
+    changed_after: float = field(default=float("-inf"), compare=False)
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,12 +58,23 @@
     :param rows: The changed rows, or all rows if ``whole``.
     :param version: Newest version of the store that is included.
     :param whole: Whether ``rows`` is complete, so that rows that are not listed do not exist.
+    :param time_ms: Time of the store's steady clock at which it was read, 0 if unknown.
     """
 
     topic: Topic
     rows: tuple[Row, ...]
     version: int
     whole: bool
+    time_ms: float = field(default=0.0, compare=False)
+
+    def with_rows_changed_after(self, time: float) -> Change:
+        """Return the change with a time before which none of its rows had their state."""
+        return replace(self, rows=tuple(replace(row, changed_after=time) for row in self.rows))
+
+    def with_clock_shifted(self, seconds: float) -> Change:
+        """Return the change with the times of its rows on a clock that is ahead by some seconds."""
+        rows = tuple(replace(row, changed_after=row.changed_after + seconds) for row in self.rows)
+        return replace(self, rows=rows)
 
 
 @dataclass(frozen=True, slots=True)
--- a/radishshunt/gateway/settings.py
+++ b/radishshunt/gateway/settings.py
@@ -7,6 +7,8 @@
 APPLY_MARGIN_SECONDS = 0.5
 LONG_POLL_MARGIN_SECONDS = 1.0
 LIVE_STATE_MARGIN_SECONDS = 0.2
+# Part of a bound in time that is left for whatever is late: processes, connections and links.
+LATENESS_RESERVE_SECONDS = 0.35
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +59,20 @@
         """
         return min(self.apply_seconds, self.drain_seconds) - APPLY_MARGIN_SECONDS
 
+    @property
+    def leaving_use_seconds(self) -> float:
+        """Time for which the owner of a key may get requests after it has left.
+
+        It is counted from a time before which the target's entry did not say so. It includes the
+        time until a host hears of it.
+        """
+        return self.drain_seconds - LATENESS_RESERVE_SECONDS
+
+    @property
+    def evacuated_use_seconds(self) -> float:
+        """Time for which the owner of a key may get requests after its domain was evacuated."""
+        return self.evacuate_seconds - LATENESS_RESERVE_SECONDS
+
     @property
     def long_poll_seconds(self) -> float:
         """Time for which a call waits for changes.
--- a/radishshunt/gateway/view.py
+++ b/radishshunt/gateway/view.py
@@ -12,6 +12,7 @@
 from radishshunt.gateway.key_maps import KEY_MAP_PART_PREFIX, KEY_MAP_PREFIX, KeyMapRows
 from radishshunt.gateway.leader_row import LEADER_KEY, Leader, decode_leader
 from radishshunt.gateway.rows import Change, Row, Topic, restore_count
+from radishshunt.gateway.settings import Bounds
 from radishshunt.gateway.view_state import DisputedRow, Target
 from radishshunt.logs import decision
 from radishshunt.policy.direct.target_statements import NEVER, TargetStatements
@@ -31,12 +32,6 @@
 # Targets whose entries expired during an outage of the store have registered again this long after
 # its end.
 REREGISTRATION_SECONDS = 2.2
-# Maximum use of a target after it left; below the 2 s that operators allow.
-MAX_LEAVING_USE_SECONDS = 1.6
-# A change that is heard of without delay is at most this old.
-NOTICED_SECONDS = 0.3
-# A host that has heard nothing for longer counts a target as having left this long ago.
-MAX_MISSED_SECONDS = 10.0
 # Time for which an absent target is kept. It exceeds every grant, so that the end of a former
 # owner's process is still recognised.
 GONE_RETENTION_SECONDS = 30.0
@@ -61,9 +56,11 @@
 
     def __init__(self, reader: RowReader, clock: Clock, heartbeat_seconds: float = 1.0) -> None:
         self.clock = clock
+        self._bounds = Bounds()
         self._restored_row_seconds = RESTORED_ROW_HEARTBEATS * heartbeat_seconds
         self.cfg: Configuration | None = None
         self.targets: dict[str, Target] = {}
+        # Time until which the owners of keys in each evacuated domain are used.
         self.evacuated: dict[str, float] = {}
         self._key_map_rows = KeyMapRows()
         self.key_map_versions: dict[str, int] = {}
@@ -88,13 +85,19 @@
         self._by_service: dict[str, list[Target]] = {}
         self._routes: dict[str, list[Route]] = {}
         self._followed_at = dict.fromkeys(Topic, float("-inf"))
+        # Time at which a host that other hosts follow last had an answer of the store.
+        self._linked_at = float("-inf")
+        # Time up to which all changes of a topic are known, by reads and by updates of other hosts.
+        self._read_until = dict.fromkeys(Topic, float("-inf"))
+        self._linked_until = float("-inf")
         self._outage_ended_at = float("-inf")
         self._store_answered_at = clock.now()
         self.confirmation = Confirmation()
         self.statements = TargetStatements()
-        # Whether changes may not have reached this host until now, and for how long, in seconds.
-        self.misses_changes: Callable[[], bool] = lambda: False
-        self.state_age: Callable[[], float] = lambda: self.followed_age
+
+    def update_bounds(self, bounds: Bounds) -> None:
+        """Apply changed bounds."""
+        self._bounds = bounds
 
     @property
     def key_maps(self) -> dict[str, KeyIndex]:
@@ -136,9 +139,34 @@
         """Seconds since the last answer of the store, direct or through another host."""
         return self.clock.now() - self._store_answered_at
 
-    def mark_up_to_date(self, topic: Topic) -> None:
-        """Record that this host now knows all changes of a topic in the store."""
+    def mark_up_to_date(self, topic: Topic, read_at: float) -> None:
+        """Record that this host has read all changes of a topic from the store.
+
+        :param read_at: Time on the host's clock at which the store read them.
+        """
         self._followed_at[topic] = self.clock.now()
+        self._read_until[topic] = max(self._read_until[topic], read_at)
+
+    def record_linked_state(self, followed_at: float, complete_until: float) -> None:
+        """Record that another host has told this one all changes by operators and targets.
+
+        :param followed_at: Time on this host's clock at which the other one last had all changes.
+        :param complete_until: Time on this host's clock at which the store had no others.
+        """
+        self._linked_at = max(self._linked_at, followed_at)
+        self._linked_until = max(self._linked_until, complete_until)
+
+    def complete_until(self, topic: Topic) -> float:
+        """Return the time on the host's clock up to which it knows all changes of a topic.
+
+        Unlike the ages below, this excludes the time that an answer of the store takes.
+        """
+        return max(self._read_until[topic], self._linked_until)
+
+    @property
+    def linked_age(self) -> float:
+        """Seconds since the host that this one follows last had all changes in the store."""
+        return self.clock.now() - self._linked_at
 
     @property
     def followed_age(self) -> float:
@@ -235,7 +263,7 @@
         if row.value is None:
             known_rows.pop(row.key, None)
             removals[row.key] = (row.version, self.clock.now())
-            self._apply_removal(topic, row.key)
+            self._apply_removal(topic, row)
             return True
         if not self._apply_row(topic, row):
             return False
@@ -393,16 +421,12 @@
         """
         now = self.clock.now()
         if target.leaving_since is not None:
+            used_until = target.leaving_since + self._bounds.leaving_use_seconds
             if target.gone and target.expired_in_outage:
-                return now < min(
-                    self._outage_ended_at + REREGISTRATION_SECONDS,
-                    target.leaving_since + MAX_LEAVING_USE_SECONDS,
-                )
-            return (
-                owner and not target.gone and now < target.leaving_since + MAX_LEAVING_USE_SECONDS
-            )
-        evacuated_at = self.evacuated.get(target.entry.domain)
-        return evacuated_at is None or (owner and now < evacuated_at + MAX_LEAVING_USE_SECONDS)
+                return now < min(self._outage_ended_at + REREGISTRATION_SECONDS, used_until)
+            return owner and not target.gone and now < used_until
+        evacuated_until = self.evacuated.get(target.entry.domain)
+        return evacuated_until is None or (owner and now < evacuated_until)
 
     def is_cold(self, target: Target) -> bool:
         """Return whether a target is cold."""
@@ -423,13 +447,14 @@
             if topic is Topic.OPERATOR:
                 return self._apply_operator_row(row)
             if topic is Topic.TARGETS:
-                self._apply_target_entry(self._reader.target(row.key, row.value or b""))
+                entry = self._reader.target(row.key, row.value or b"")
+                self._apply_target_entry(entry, self._changed_after(topic, row))
             else:
                 self._apply_own_row(row)
         except ProtocolError as exc:
             logger.warning("ignoring row %s of topic %s: %s", row.key, topic.value, exc)
             if topic is Topic.TARGETS:
-                self._apply_removal(topic, row.key)
+                self._apply_removal(topic, row)
             # Only a copy of an own row can be malformed, so that the row itself is still unknown.
             return topic is not Topic.OWN
         return True
@@ -438,7 +463,11 @@
         """Apply a row of the operators, and return whether it is to be recorded."""
         domain = self._reader.evacuated_domain(row.key)
         if domain is not None:
-            self.evacuated.setdefault(domain, self.clock.now())
+            used_until = min(
+                self.clock.now() + self._bounds.leaving_use_seconds,
+                self._changed_after(Topic.OPERATOR, row) + self._bounds.evacuated_use_seconds,
+            )
+            self.evacuated.setdefault(domain, used_until)
             decision("evacuate", domain=domain, version=row.version)
         elif self._reader.is_configuration(row.key):
             cfg = self.confirmation.read_configuration(self._reader, row, self.cfg)
@@ -453,7 +482,7 @@
             decision("configuration", version=cfg.version, routes=len(cfg.routes))
         return True
 
-    def _apply_target_entry(self, entry: TargetEntry) -> None:
+    def _apply_target_entry(self, entry: TargetEntry, changed_after: float) -> None:
         now = self.clock.now()
         old = self.targets.get(entry.id)
         if old is not None and old.entry == entry and not old.gone:
@@ -462,7 +491,7 @@
         if old is not None and old.entry.incarnation == entry.incarnation and not old.gone:
             target.leaving_since = old.leaving_since if entry.draining else None
         if entry.draining and target.leaving_since is None:
-            target.leaving_since = self._earliest_change()
+            target.leaving_since = changed_after
         target.apply_stated(self._stated(entry))
         self.targets[entry.id] = target
         self._index_services()
@@ -485,7 +514,8 @@
         elif row.key.startswith(KEY_MAP_PART_PREFIX):
             self._key_map_rows.apply_part_row(row.key[len(KEY_MAP_PART_PREFIX) :], row.value or b"")
 
-    def _apply_removal(self, topic: Topic, key: str) -> None:
+    def _apply_removal(self, topic: Topic, row: Row) -> None:
+        key = row.key
         if topic is Topic.OPERATOR:
             domain = self._reader.evacuated_domain(key)
             if domain is not None and self.evacuated.pop(domain, None) is not None:
@@ -499,15 +529,17 @@
                 target.expired_in_outage = now - self._outage_ended_at < REREGISTRATION_SECONDS
                 if target.leaving_since is None:
                     expired = target.expired_in_outage
-                    target.leaving_since = now if expired else self._earliest_change()
+                    target.leaving_since = now if expired else self._changed_after(topic, row)
                 decision("target-gone", target=key, lapsed=target.expired_in_outage)
 
-    def _earliest_change(self) -> float:
-        """Return since when an entry may have had the state that this host hears of now."""
-        now = self.clock.now()
-        if not self.misses_changes():
-            return now
-        return now - min(MAX_MISSED_SECONDS, max(0.0, self.state_age() - NOTICED_SECONDS))
+    def _changed_after(self, topic: Topic, row: Row) -> float:
+        """Return a time on the host's clock before which a row did not have its state.
+
+        A source that did not see the change itself states none; this host knew all earlier ones.
+        """
+        if row.changed_after > float("-inf"):
+            return row.changed_after
+        return self.complete_until(topic)
 
     def _index_services(self) -> None:
         by_service: dict[str, list[Target]] = {}
--- a/radishshunt/gateway/view_state.py
+++ b/radishshunt/gateway/view_state.py
@@ -18,8 +18,8 @@
     """State of a target in the local view.
 
     :param cold_until: Time on the host's clock until which the target is cold.
-    :param leaving_since: Time on the host's clock at which the target was first seen draining or
-        gone, or stated itself that it is leaving; or ``None``.
+    :param leaving_since: Time on the host's clock before which the target's entry did not say that
+        it is draining or gone, or at which it stated itself that it is leaving; or ``None``.
     :param gone: Whether the target's entry is absent from the store.
     :param expired_in_outage: Whether the entry may have expired because of an outage of the store.
     """
--- a/radishshunt/platform/store.py
+++ b/radishshunt/platform/store.py
@@ -123,7 +123,7 @@
 
     async def read(self, topic: Topic) -> Change:
         rows: dict[str, Row] = {}
-        version = 0
+        version, time_ms = 0, 0.0
         start_key = ""
         while True:
             query = {"Table": _TABLES[topic], "part": "", "Limit": PAGE_ROWS}
@@ -139,9 +139,10 @@
             rows.update((row.key, row) for row in page)
             # Later pages may contain later writes. Changes are followed from the version of the
             # first page, so that none is missed.
-            version = version or self._version(doc.RowVersion)
+            if not version:
+                version, time_ms = self._version(doc.RowVersion), doc.TimeMs
             if not doc.HasMore or not page:
-                return Change(topic, tuple(rows.values()), version, whole=True)
+                return Change(topic, tuple(rows.values()), version, True, time_ms)
             start_key = page[-1].key + "\0"
 
     async def changes(self, topic: Topic, after: int, wait_seconds: float) -> Change:
@@ -158,7 +159,7 @@
             raise HistoryLost
         version = max(after, self._version(doc.RowVersion))
         rows = self._decode_rows(topic, doc.Rows)
-        return Change(topic, tuple(rows), version, whole=False)
+        return Change(topic, tuple(rows), version, False, doc.TimeMs)
 
     async def commit(self, checks: dict[str, int], writes: Sequence[tuple[str, bytes]]) -> Commit:
         if not self._restores_known:
--- a/tests/test_gateway/conftest.py
+++ b/tests/test_gateway/conftest.py
@@ -292,5 +292,6 @@
 
 
 def apply_row(view: View, topic: Topic, key: str, value: bytes | None, version: int) -> None:
-    """Apply one row to a view."""
-    view.apply(Change(topic, (Row(key, version, value),), version, whole=False))
+    """Apply one row to a view, as the host that reads the store does at once."""
+    row = Row(key, version, value, changed_after=view.clock.now())
+    view.apply(Change(topic, (row,), version, whole=False))
--- a/tests/test_gateway/test_gateway_links.py
+++ b/tests/test_gateway/test_gateway_links.py
@@ -34,7 +34,8 @@
 from radishshunt.gateway.view import View
 from radishshunt.platform.catalog import CatalogReader
 from radishshunt.quarantine import Quarantine
-from tests.test_gateway.conftest import CONFIGURATION
+from radishshunt.util.remote_clock import RemoteClock
+from tests.test_gateway.conftest import CONFIGURATION, entry_value
 
 # Time within which operators require a new configuration to be in force on all hosts.
 APPLY_SECONDS = 2.0
@@ -51,7 +52,7 @@
     view = View(CatalogReader(), TrioClock())
     for topic in Topic:
         view.apply(Change(topic, (), 1, whole=True))
-        view.mark_up_to_date(topic)
+        view.mark_up_to_date(topic, view.clock.now())
     return view
 
 
@@ -69,7 +70,8 @@
     deadline = trio.current_time() + seconds
     while trio.current_time() < deadline:
         age = trio.current_time() - store_responded_at
-        link.apply_update(StateUpdate(leading=True, followed_age=age, hosts=2))
+        now = link._view.clock.now()
+        link.apply_update(StateUpdate(leading=True, followed_age=age, hosts=2, sent_at=now))
         await trio.sleep(UPDATE_INTERVAL_SECONDS)
 
 
@@ -104,14 +106,63 @@
         assert link.fresh
 
 
+@pytest.mark.parametrize("lateness", [0.0, 0.4, 0.8])
+async def test_target_whose_leaving_is_passed_on_late_is_not_used_for_longer(
+    autojump_clock, link: LinkClient, view: View, lateness: float
+) -> None:
+    # Guards against requests to a leaving target more than 2 s after it left: the leader read the
+    # store's answer late, but not so late that changes seemed to be missing.
+    await receive_updates(link, 0.1, trio.current_time())
+    left_at = view.clock.now()
+    remote_clock = 500.0 - left_at
+    await receive_updates(link, lateness, trio.current_time())
+    rows = (
+        Row("i-1", 2, entry_value()),
+        Row("i-1", 3, entry_value(State="draining"), changed_after=left_at + remote_clock),
+    )
+    update = StateUpdate(
+        leading=True,
+        followed_age=0.0,
+        hosts=2,
+        changes=(Change(Topic.TARGETS, rows, 3, whole=False),),
+        sent_at=view.clock.now() + remote_clock,
+    )
+    link._remote_clock = RemoteClock()
+    link.apply_update(update)
+    assert view.may_use(view.targets["i-1"], owner=True)
+    while view.may_use(view.targets["i-1"], owner=True):
+        await trio.sleep(0.01)
+    assert view.clock.now() - left_at < 1.7
+
+
+async def test_host_that_reads_updates_late_counts_them_from_when_they_were_sent(
+    autojump_clock, link: LinkClient, view: View
+) -> None:
+    # Guards against a state that seems newer than it is, because this host's process was late.
+    remote_clock = -900_000.0
+
+    def update() -> StateUpdate:
+        sent_at = view.clock.now() + remote_clock
+        return StateUpdate(True, 0.0, 2, sent_at=sent_at, complete_until=sent_at)
+
+    link.apply_update(update())
+    await trio.sleep(0.2)
+    late = update()
+    sent_at = view.clock.now()
+    await trio.sleep(0.5)
+    link.apply_update(late)
+    assert view.complete_until(Topic.TARGETS) == pytest.approx(sent_at)
+    assert link.state_age == pytest.approx(0.5)
+
+
 async def test_age_is_that_of_the_topic_read_longest_ago(autojump_clock, view) -> None:
     # Guards against updates that seem recent because of the other topics while the read of one
     # topic hangs.
     await trio.sleep(1.0)
-    view.mark_up_to_date(Topic.TARGETS)
-    view.mark_up_to_date(Topic.OWN)
+    view.mark_up_to_date(Topic.TARGETS, view.clock.now())
+    view.mark_up_to_date(Topic.OWN, view.clock.now())
     assert view.followed_age == pytest.approx(1.0)
-    view.mark_up_to_date(Topic.OPERATOR)
+    view.mark_up_to_date(Topic.OPERATOR, view.clock.now())
     assert view.followed_age == pytest.approx(0.0)
 
 
--- a/tests/test_gateway/test_gateway_view.py
+++ b/tests/test_gateway/test_gateway_view.py
@@ -80,16 +80,45 @@
 ) -> None:
     """Guards against a time of use that starts when the host hears of a change, seconds late."""
     apply_row(view, Topic.TARGETS, "i-1", entry_value(), 1)
-    view.state_age = lambda: 1.4
-    view.misses_changes = lambda: True
-    apply_row(view, Topic.TARGETS, "i-1", value, 2)
+    view.mark_up_to_date(Topic.TARGETS, view.clock.now())
+    await trio.sleep(1.4)
+    view.apply(Change(Topic.TARGETS, (Row("i-1", 2, value),), 2, whole=False))
     target = view.targets["i-1"]
     assert view.may_use(target, owner=True) == (value is not None)
-    # Two seconds after the earliest time at which it can have left.
-    await trio.sleep(0.6)
+    # Before two seconds after the earliest time at which it can have left.
+    await trio.sleep(0.3)
     assert not view.may_use(target, owner=True)
 
 
+async def test_change_that_is_heard_of_late_is_not_taken_for_a_new_one(
+    autojump_clock: object, view: View
+) -> None:
+    """Guards against a time of use that starts late although nothing seemed to be missing."""
+    apply_row(view, Topic.TARGETS, "i-1", entry_value(), 1)
+    left_at = view.clock.now()
+    await trio.sleep(0.6)
+    view.mark_up_to_date(Topic.TARGETS, view.clock.now())
+    row = Row("i-1", 2, entry_value(State="draining"), changed_after=left_at)
+    view.apply(Change(Topic.TARGETS, (row,), 2, whole=False))
+    assert view.may_use(view.targets["i-1"], owner=True)
+    await trio.sleep(1.1)
+    assert not view.may_use(view.targets["i-1"], owner=True)
+
+
+async def test_evacuation_that_is_heard_of_late_ends_the_use_of_owners_in_time(
+    autojump_clock: object, view: View
+) -> None:
+    """Guards against requests to an evacuated domain beyond 5 s after an outage of the links."""
+    apply_row(view, Topic.TARGETS, "i-1", entry_value(), 1)
+    evacuated_at = view.clock.now()
+    await trio.sleep(4.0)
+    row = Row("evacuate/munich", 2, b"{}", changed_after=evacuated_at)
+    view.apply(Change(Topic.OPERATOR, (row,), 2, whole=False))
+    assert view.may_use(view.targets["i-1"], owner=True)
+    await trio.sleep(0.7)
+    assert not view.may_use(view.targets["i-1"], owner=True)
+
+
 async def test_target_whose_entry_expired_in_an_outage_is_used_until_it_can_register_again(
     autojump_clock: object, view: View
 ) -> None:
