Send nothing to a target that left while a connection was opened

Change: the sender checks again right before the first byte. A request whose target may no longer be used goes back to the choice of a target, and its attempt is not counted.

Tests: test_target_that_left_while_a_connection_was_opened_gets_no_request fails without the check.

--- a/radishshunt/gateway/exchange.py
+++ b/radishshunt/gateway/exchange.py
@@ -127,7 +127,8 @@
     ) -> HttpResponse:
         """Send a request and return its complete response.
 
-        :param on_send: Called right before the first byte is written.
+        :param on_send: Called right before the first byte is written. If it raises an exception,
+            nothing is sent.
         :raises ExchangeError: If there is no complete response.
         """
         self.reusable = False
@@ -136,7 +137,12 @@
         except h11.LocalProtocolError as exc:
             raise ExchangeError(f"request cannot be sent: {exc}", sent=False) from exc
         if on_send is not None:
-            on_send()
+            try:
+                on_send()
+            except BaseException:
+                # Nothing has been sent, so that there is nothing to reset.
+                self.close()
+                raise
         try:
             if len(req.body) <= SMALL_BODY_BYTES:
                 await self._stream.send_all(b"".join(parts))
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -53,6 +53,10 @@
 MAX_SENDS = 4
 
 
+class _TargetNotUsable(Exception):
+    """The target of an attempt may not be used any more, and nothing was sent to it."""
+
+
 @dataclass(slots=True, eq=False)
 class _Attempt:
     """One attempt to send a request.
@@ -286,6 +290,10 @@
                 response, route, service, target.entry, state, trio.current_time() - attempt.sent_at
             )
             self.chooser.response_costs.on_response(route, target.entry, response, state.load)
+        except _TargetNotUsable:
+            self._log_attempt(attempt, 0, "target left before the request was sent")
+            attempts.sends -= 1
+            return None
         except ExchangeError as exc:
             self._record_failure(attempt, connected=exc.sent)
             self._record_failed_attempt(attempt, exc)
@@ -339,7 +347,7 @@
             return await attempt.state.pool.exchange(
                 target_request,
                 repeatable=repeatable,
-                on_send=attempt.mark_sent,
+                on_send=partial(self._mark_sent, attempt),
                 used=attempt.attempts.connections,
             )
         finally:
@@ -347,6 +355,19 @@
             if attempt.sent:
                 self.chooser.response_costs.on_sent(attempt.req, route, attempt.target.entry)
 
+    def _mark_sent(self, attempt: _Attempt) -> None:
+        """Record that the target of an attempt may run the request from now on.
+
+        A new connection takes time, in which the target may have left.
+
+        :raises _TargetNotUsable: If it may not be used any more.
+        """
+        target = self._view.targets.get(attempt.target.entry.id)
+        owner = attempt.service.keyed and attempt.req.key is not None
+        if target is None or not self._view.may_use(target, owner=owner):
+            raise _TargetNotUsable
+        attempt.mark_sent()
+
     def _record_failure(self, attempt: _Attempt, *, connected: bool) -> None:
         """Record an attempt without a complete response, unless that was done before."""
         if attempt.silent:
--- a/tests/test_gateway/test_gateway_sender.py
+++ b/tests/test_gateway/test_gateway_sender.py
@@ -12,16 +12,18 @@
 
 from radishshunt.clock import SystemClock, TrioClock
 from radishshunt.errors import NotRun, OutcomeOfRequestUnknown
+from radishshunt.gateway import target_pool
 from radishshunt.gateway.exchange import HttpResponse
 from radishshunt.gateway.key_maps import KEY_MAP_PREFIX, encode_key_map
 from radishshunt.gateway.model import LAST_KEY, KeyMap, KeyRange
 from radishshunt.gateway.protocol import CallerRequest
-from radishshunt.gateway.rows import Topic
+from radishshunt.gateway.rows import Change, Row, Topic
 from radishshunt.gateway.sender import Sender, _Attempt
 from radishshunt.gateway.view import View
 from radishshunt.platform.catalog import CatalogReader
 from radishshunt.platform.target_protocol import HttpTargetProtocol
 from radishshunt.quarantine import Quarantine
+from radishshunt.util.streams import connect
 from radishshunt.workspaces.authentication import KeyRefusal
 from tests.test_gateway.conftest import CONFIGURATION, apply_row, entry_value
 
@@ -437,3 +439,28 @@
         return
     assert result.reason == "key-removed"
     assert isinstance(result, OutcomeOfRequestUnknown) == (checks >= 3 and not first_answer)
+
+
+async def test_target_that_left_while_a_connection_was_opened_gets_no_request(
+    cfg: HostSettings, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests after the use of a target has ended, by slow connections."""
+    view = View(CatalogReader(), TrioClock())
+
+    async def connect_slowly(address: str, seconds: float) -> trio.SocketStream:
+        row = Row("i-1", 9, entry_value(address, State="draining"), changed_after=left_at)
+        view.apply(Change(Topic.TARGETS, (row,), 9, whole=False))
+        assert view.may_use(view.targets["i-1"], owner=True)
+        await trio.sleep(0.3)
+        return await connect(address, seconds)
+
+    async def respond(stream: trio.SocketStream, number: int) -> bool:
+        await stream.send_all(OK)
+        return True
+
+    left_at = view.clock.now() - 1.4
+    monkeypatch.setattr(target_pool, "connect", connect_slowly)
+    target = _Target(respond)
+    result = await _send(cfg, target, "/reads/1", 0.6, b"", view=view)
+    assert isinstance(result, NotRun)
+    assert target.requests == 0
