Let another host lead as soon as the leader has lost the store

What callers saw: while the leader was cut off from the store, keys of leaving targets stayed there until the lease had expired and a takeover 2.0 to 2.6 s after the change; requests for them were refused from the end of their use on. The leader itself went on sending to these targets for up to 6 s, as a host that is named in the leader's row followed nobody.

Cause: only the end of the lease could end a term, although the leader and its backups know before that the store answers others.

Change: backups read the store once the leader's state is older than any slow store explains, and tell in their reports how old their own reading is. A leader whose state is that old, and which hears of a recent reading, ends its term: it stops its commands, then tells all linked hosts which term ended. The backups need not wait for the end of that lease; the row's version still decides which one leads. The former leader waits until another host has led or it reads the store again, and follows a backup meanwhile, like any leader whose lease has expired.

The simulations of hosts that the store rejects cover resignations as well.

--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -54,6 +54,8 @@
 SYNCHRONIZE_SECONDS = 0.5
 # The platform removes a host from rotation after two failed readiness checks, one per second.
 OUT_OF_ROTATION_SECONDS = 2.6
+# A host that has read the store within this time can lead.
+RECENT_READ_SECONDS = 0.3
 # Path on the metrics port that tells which configuration is in force on each host.
 HOSTS_PATH = "/hosts"
 # A stopping host ends its last requests this long before the platform would kill it.
@@ -124,6 +126,7 @@
             self._suspects,
             self._host_shares,
             self.target_model,
+            lambda: self.leadership.valid,
         )
         authentication = Authentication(self.view, lambda: self.cfg.bounds, lambda: self._state_age)
         quotas = WorkspaceQuotas(self._host_shares, lambda: self.cfg.bounds, self.metrics)
@@ -162,6 +165,7 @@
             self._suspects,
             self._leader_shares.grant_tokens,
             self.target_model,
+            lambda: self.leadership.resigned_term,
         )
         self._caller_server = HttpServer(self.caller_api.app, cfg.callers_address, name="callers")
         self._readiness_server = HttpServer(
@@ -290,6 +294,13 @@
         """Take the report of another host while this one leads."""
         self.load_statistics.add_report(report)
         self._leader_shares.record_report(report.host)
+        if (
+            report.followed_age < RECENT_READ_SECONDS
+            and self.view.followed_age > self.cfg.bounds.lost_store_age_seconds
+        ):
+            # The store answers another host.
+            self.leadership.resign()
+            self._link_server.announce_resignation()
 
     def _grants_own_tokens(self) -> bool:
         return self.view.cfg is not None and self.leadership.valid
--- a/radishshunt/gateway/gateway.capnp
+++ b/radishshunt/gateway/gateway.capnp
@@ -49,6 +49,8 @@
   # Time of the sender's clock, and the time up to which it knows all changes; -inf if unknown.
   sentAt @10 :Float64;
   completeUntil @11 :Float64 = -inf;
+  # Last term of the sender that it has ended before its lease; empty if there is none.
+  resignedTerm @12 :Text;
 }
 
 # What a process of a target has stated about itself.
@@ -120,6 +122,8 @@
   number @6 :UInt64;
   demands @7 :List(AllowanceDemand);
   statements @8 :List(TargetStatement);
+  # Seconds since the host itself last had all changes by operators and targets from the store.
+  followedAge @9 :Float32 = inf;
 }
 
 struct AllowanceDemand {
--- a/radishshunt/gateway/leadership.py
+++ b/radishshunt/gateway/leadership.py
@@ -62,6 +62,7 @@
     """Acquires, renews and releases the leader lease of this host.
 
     :ivar term: Random identifier of this host's term; empty while it does not lead.
+    :ivar resigned_term: Last term that this host has ended before its lease, or empty.
     :ivar resumed: Whether no other host has led since this host last recorded all grants.
     :ivar acquired_ms: Time of the store's clock at the start of the term.
     :ivar stored_versions: Version of each row in the store at the start of the term, by key.
@@ -75,6 +76,7 @@
         self, cfg: HostSettings, view: View, store: RowStore, rng: Random | None = None
     ) -> None:
         self.term = ""
+        self.resigned_term = ""
         self.resumed = False
         self.acquired_ms = 0
         self.stored_versions: dict[str, int] = {}
@@ -97,6 +99,7 @@
         self._rows_read = False
         self._address = f"{cfg.ip}:{cfg.peer_port}"
         self._commit_lock = trio.Lock()
+        self._renewal_scope: trio.CancelScope | None = None
         self._stopping = False
 
     @property
@@ -115,17 +118,54 @@
         earliest_at = self._view.clock.now() + takeover_delay_seconds(self._cfg)
         while True:
             ready = self._view.versions[Topic.OWN] and self._view.clock.now() >= earliest_at
-            if ready and self._may_acquire(delay):
+            if ready and not self._has_just_resigned and self._may_acquire(delay):
                 try:
                     async with self._commit_lock:
                         if not self._stopping and await self._acquire():
                             return
                 except (PlatformUnavailable, PlatformOutcomeUnknown, ProtocolError) as exc:
                     logger.info("acquiring the lease failed: %s", exc)
-            await trio.sleep(POLL_INTERVAL_SECONDS)
+            with trio.move_on_after(self._seconds_until_check(delay)):
+                await self._view.resigned.wait()
+
+    def _seconds_until_check(self, delay: float) -> float:
+        """Return the seconds until this host checks again whether it may acquire the lease.
+
+        Hosts that all checked at the same times would acquire it at the same time.
+        """
+        seconds = self._view.leader_row_seen_at + LEASE_SECONDS + delay - self._view.clock.now()
+        return min(POLL_INTERVAL_SECONDS, seconds) if seconds > 0.0 else POLL_INTERVAL_SECONDS
 
     async def keep_renewing(self) -> None:
-        """Renew the lease until it is lost or released."""
+        """Renew the lease until it is lost, released or resigned."""
+        with trio.CancelScope() as self._renewal_scope:
+            await self._renew_regularly()
+        self._renewal_scope = None
+        decision("lease-lost", term=self.term or self.resigned_term)
+        self.term = ""
+
+    def resign(self) -> None:
+        """End the term before the lease, as other hosts can lead and this one cannot.
+
+        Nothing is written to the store, which this host does not reach. Hosts that are told of the
+        resigned term need not wait for the end of the lease.
+        """
+        decision("lease-resigned", term=self.term, state_age=round(self._view.followed_age, 3))
+        self.resigned_term, self.term = self.term, ""
+        self._valid_until = float("-inf")
+        if self._renewal_scope is not None:
+            self._renewal_scope.cancel()
+
+    @property
+    def _has_just_resigned(self) -> bool:
+        """Whether no other host has led since this one resigned, and it still lacks the store."""
+        return (
+            bool(self.resigned_term)
+            and self._view.leader.term == self.resigned_term
+            and self._view.followed_age > self._cfg.bounds.live_state_age_seconds
+        )
+
+    async def _renew_regularly(self) -> None:
         while self.valid:
             sent_at = self._view.clock.now()
             try:
@@ -142,8 +182,6 @@
             except StoreRestored:
                 # The rows that were lost are written again at the start of a term.
                 self._end_lease_after_restore()
-        decision("lease-lost", term=self.term)
-        self.term = ""
 
     async def read_rows(self) -> None:
         """Read the rows of the router's own table again.
@@ -240,7 +278,7 @@
             # Hosts that know what the store has lost go first.
             delay += LOST_ROWS_DELAY_SECONDS
             return self._view.clock.now() - self._view.leader_row_seen_at > LEASE_SECONDS + delay
-        if leader.version == 0 or not leader.host:
+        if leader.version == 0 or not leader.host or leader.term == self._view.resigned_term:
             return True
         if leader.host == self._cfg.name and leader.address == self._address:
             # Only an earlier process of this host used this name and address, and it has ended.
--- a/radishshunt/gateway/link_client.py
+++ b/radishshunt/gateway/link_client.py
@@ -31,10 +31,10 @@
 
 logger = logging.getLogger(__name__)
 
-# A backup host starts to read the store, and the others leave a leader, this much before their
-# state counts as old.
-BACKUP_READ_MARGIN_SECONDS = 0.25
+# Hosts leave a leader this much before their state counts as old.
 LEAVE_LEADER_MARGIN_SECONDS = 0.15
+# Interval between the reports of a backup to a leader that has lost the store.
+LOST_STORE_REPORT_SECONDS = 0.05
 # Updates are overdue after this many intervals.
 OVERDUE_INTERVALS = 2.5
 CONNECT_TIMEOUT_SECONDS = 0.3
@@ -54,6 +54,7 @@
     :param suspects: Suspects that are exchanged with other hosts.
     :param allowances: Demands that reports state, and grants of their answers, if there are any.
     :param target_model: Learned speeds, if they may be used.
+    :param is_leader: Returns whether this host leads.
     :ivar backups: Addresses of the hosts that read the store while the leader is silent.
     :ivar hosts: Number of hosts connected to the leader, including the leader.
     """
@@ -66,9 +67,11 @@
         suspects: SuspectExchange,
         allowances: AllowanceExchange | None = None,
         target_model: TargetModel | None = None,
+        is_leader: Callable[[], bool] = lambda: False,
     ) -> None:
         self.backups: tuple[str, ...] = ()
         self.hosts = 0
+        self._is_leader = is_leader
         self._cfg = cfg
         self._view = view
         self._build_report = build_report
@@ -111,14 +114,16 @@
     def store_needed(self) -> bool:
         """Whether this host, which does not lead, has to read the store itself."""
         if self.fresh:
-            return self.is_backup and (
-                self.state_age > self._cfg.bounds.max_state_age_seconds - BACKUP_READ_MARGIN_SECONDS
-                or self.source_lost
-            )
+            return self.is_backup and (self._source_lacks_store or self.source_lost)
         if not self._view.complete and self._view.leader.address != self._own_address:
             return self._view.clock.now() >= self._store_unneeded_until
         return True
 
+    @property
+    def _source_lacks_store(self) -> bool:
+        """Whether the host that this one follows seems to have lost the store."""
+        return self.state_age > self._cfg.bounds.lost_store_age_seconds
+
     @property
     def source_lost(self) -> bool:
         """Whether this host's link has closed, or its updates are overdue."""
@@ -146,6 +151,9 @@
         while True:
             leader = self._view.leader.address
             if leader == self._own_address:
+                if not self._is_leader():
+                    # The term has ended, and no other host leads yet that this one knows of.
+                    await self._follow_other_host()
                 await trio.sleep(RECONNECT_DELAY_SECONDS)
                 continue
             if leader and self._view.clock.now() >= self._leader_avoided_until:
@@ -153,7 +161,8 @@
             self._view.overloaded = {}
             if self._view.leader.address == leader and not self.is_backup:
                 await self._follow_other_host()
-            await trio.sleep(RECONNECT_DELAY_SECONDS)
+            if self._view.leader.address == leader:
+                await trio.sleep(RECONNECT_DELAY_SECONDS)
 
     async def _follow_other_host(self) -> None:
         """Follow a backup, or ask the hosts of the settings who leads."""
@@ -236,15 +245,23 @@
             report = replace(
                 report,
                 configuration=cfg.version if cfg else 0,
+                followed_age=max(0.0, self._view.followed_age),
                 number=self._sent_reports.add(sent_at) if numbered or demands else 0,
                 demands=demands,
             )
             await stream.send_all(encode(report))
             hello = None
             if regular:
-                regular_at = trio.current_time() + message_interval(self.hosts)
+                regular_at = trio.current_time() + self._report_interval
             await self._wait_for_next_report(regular_at)
 
+    @property
+    def _report_interval(self) -> float:
+        """Seconds until the next report of the load."""
+        if self.is_backup and self._source_lacks_store:
+            return LOST_STORE_REPORT_SECONDS
+        return message_interval(self.hosts)
+
     async def _wait_for_next_report(self, regular_at: float) -> None:
         if self._allowances is None:
             await trio.sleep_until(regular_at)
@@ -256,9 +273,13 @@
         """Cancel a scope when the leader can be followed again."""
         leader = self._view.leader.address
         checked_at = trio.current_time()
-        while self._view.leader.address == leader:
+        while self._view.leader.address == leader and not self._is_leader():
             await trio.sleep(RECONNECT_DELAY_SECONDS)
-            if trio.current_time() - checked_at < LEADER_CHECK_SECONDS or not leader:
+            if (
+                leader == self._own_address
+                or trio.current_time() - checked_at < LEADER_CHECK_SECONDS
+                or not leader
+            ):
                 continue
             checked_at = trio.current_time()
             try:
@@ -309,6 +330,9 @@
         :raises ProtocolError: If it contains a delta to a row that this host does not have.
         """
         self._apply_changes(update)
+        if self.is_backup:
+            # The backups lead next; the others wait for the end of the lease.
+            self._view.record_resignation(update.resigned_term)
         if not self.backups:
             self.backups = update.backups
 
--- a/radishshunt/gateway/link_server.py
+++ b/radishshunt/gateway/link_server.py
@@ -85,6 +85,7 @@
     :param suspects: Suspects that are exchanged with other hosts.
     :param grant_tokens: Returns the tokens that a host may use, while this host leads.
     :param target_model: Learned speeds, if they may be stated.
+    :param resigned_term: Returns the last term that this host has ended before its lease.
     :ivar backups: Addresses of the backup hosts that the leader has named last.
     :ivar host_versions: Configuration in force on the hosts that are linked to this one.
     :ivar known_hosts: Number of hosts that the leader has stated last, including the leader.
@@ -99,6 +100,7 @@
         suspects: SuspectExchange,
         grant_tokens: GrantTokens = grant_nothing,
         target_model: TargetModel | None = None,
+        resigned_term: Callable[[], str] = lambda: "",
     ) -> None:
         self.backups: tuple[str, ...] = ()
         self.host_versions = HostVersions(view.clock)
@@ -110,6 +112,7 @@
         self._suspects = suspects
         self._grant_tokens = grant_tokens
         self._target_model = target_model
+        self._resigned_term = resigned_term
         self._links: set[_Link] = set()
         self._changes: list[Change] = []
         self._delta_encoder = DeltaEncoder()
@@ -130,6 +133,10 @@
             nursery.start_soon(self._send_updates)
             await trio.serve_tcp(self._serve, self._cfg.peer_port, host=self._cfg.ip)
 
+    def announce_resignation(self) -> None:
+        """Tell all linked hosts soon that this host no longer leads."""
+        self._wake.set()
+
     async def _send_updates(self) -> None:
         """Send one frame to all links when there are changes, and at least once an interval."""
         while True:
@@ -192,6 +199,7 @@
             statements=statements,
             sent_at=self._view.clock.now(),
             complete_until=min(map(self._view.complete_until, (Topic.OPERATOR, Topic.TARGETS))),
+            resigned_term=self._resigned_term(),
         )
 
     def _queue_change(self, change: Change | None) -> None:
@@ -241,18 +249,20 @@
                 changes=changes,
                 backups=self.backups,
                 sent_at=self._view.clock.now(),
+                resigned_term=self._resigned_term(),
             )
         )
 
     def _may_serve(self, hello: Hello) -> bool:
         if self._is_leader():
             return True
-        return (
-            hello.follow
-            and self._view.complete
-            and self._view.followed_age
-            < self._cfg.bounds.max_state_age_seconds - MIN_SOURCE_SECONDS
-        )
+        if not hello.follow or not self._view.complete:
+            return False
+        age = self._view.followed_age
+        if f"{self._cfg.ip}:{self._cfg.peer_port}" in self.backups:
+            # A backup that has lost its source too is about to read the store.
+            age = min(age, self._view.linked_age)
+        return age < self._cfg.bounds.max_state_age_seconds - MIN_SOURCE_SECONDS
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         link = None
--- a/radishshunt/gateway/messages.py
+++ b/radishshunt/gateway/messages.py
@@ -67,6 +67,8 @@
     :param sent_at: Time of the sender's clock, to which the times of the rows refer.
     :param complete_until: Time of the sender's clock up to which it knows all changes by operators
         and targets.
+    :param resigned_term: Last term of the sender that it has ended before its lease, empty if there
+        is none.
     """
 
     leading: bool
@@ -81,6 +83,7 @@
     statements: tuple[TargetStatement, ...] = ()
     sent_at: float = 0.0
     complete_until: float = -math.inf
+    resigned_term: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,6 +173,8 @@
     :param demands: Demand for allowances that all hosts share.
     :param statements: What targets have stated about themselves to this host since the last report,
         or all that it knows in the first report of a link.
+    :param followed_age: Seconds since the host itself last had all changes by operators and targets
+        from the store, infinite if it never had.
     """
 
     host: str
@@ -181,6 +186,7 @@
     number: int = 0
     demands: tuple[AllowanceDemand, ...] = ()
     statements: tuple[TargetStatement, ...] = ()
+    followed_age: float = math.inf
 
 
 Message = StateUpdate | Report | ReportAnswer
@@ -197,6 +203,7 @@
             "followedAge": msg.followed_age,
             "sentAt": msg.sent_at,
             "completeUntil": msg.complete_until,
+            "resignedTerm": msg.resigned_term,
             "changes": [_change_fields(change) for change in msg.changes],
             "moving": [
                 {"service": service, "first": first, "last": last}
@@ -245,6 +252,7 @@
             "suspects": _suspect_fields(msg.suspects),
             "configuration": msg.configuration,
             "number": msg.number,
+            "followedAge": msg.followed_age,
             "demands": [
                 {
                     "allowance": item.allowance,
@@ -392,6 +400,7 @@
         _decode_statements(news.statements),
         news.sentAt,
         news.completeUntil,
+        news.resignedTerm,
     )
 
 
@@ -419,6 +428,7 @@
         report.number,
         demands,
         _decode_statements(report.statements),
+        report.followedAge,
     )
 
 
--- a/radishshunt/gateway/settings.py
+++ b/radishshunt/gateway/settings.py
@@ -7,6 +7,8 @@
 APPLY_MARGIN_SECONDS = 0.5
 LONG_POLL_MARGIN_SECONDS = 1.0
 LIVE_STATE_MARGIN_SECONDS = 0.2
+# Pause between two calls, and the answer of a store that is slow.
+LOST_STORE_MARGIN_SECONDS = 0.6
 # Part of a bound in time that is left for whatever is late: processes, connections and links.
 LATENESS_RESERVE_SECONDS = 0.35
 
@@ -90,6 +92,11 @@
         """
         return self.long_poll_seconds + LIVE_STATE_MARGIN_SECONDS
 
+    @property
+    def lost_store_age_seconds(self) -> float:
+        """Age of the leader's state above which it has lost the store, however slow that is."""
+        return self.long_poll_seconds + LOST_STORE_MARGIN_SECONDS
+
 
 @dataclass(frozen=True, slots=True)
 class HostSettings:
--- a/radishshunt/gateway/view.py
+++ b/radishshunt/gateway/view.py
@@ -68,6 +68,10 @@
         # Load from all hosts relative to the capacity, of the overloaded targets only.
         self.overloaded: dict[str, float] = {}
         self.leader = Leader()
+        # Term that its leader has ended before its lease; never that of an unknown leader.
+        self.resigned_term: str | None = None
+        # Set when that is recorded, then replaced by a new event.
+        self.resigned = trio.Event()
         self.leader_row_seen_at = clock.now()
         self.versions: dict[Topic, int] = dict.fromkeys(Topic, 0)
         self.first_versions: dict[Topic, int] = dict.fromkeys(Topic, 0)
@@ -387,6 +391,14 @@
     def _stated(self, entry: TargetEntry) -> StatedState | None:
         return self.statements.state(entry.id, entry.incarnation)
 
+    def record_resignation(self, term: str) -> None:
+        """Record that a leader has ended its term before its lease."""
+        if term and term != self.resigned_term:
+            self.resigned_term = term
+            decision("leader-resigned", leader=self.leader.host, term=term)
+            self.resigned.set()
+            self.resigned = trio.Event()
+
     def set_moving(self, moving: dict[str, list[tuple[int, int]]]) -> None:
         """Set the ranges of keys that the leader is moving, by service."""
         if moving != self.moving:
--- a/tests/support/link_simulation.py
+++ b/tests/support/link_simulation.py
@@ -143,7 +143,10 @@
 
     async def changes(self, topic: Topic, after: int, wait_seconds: float) -> Change:
         self._check_served()
-        return await self._store.changes(topic, after, wait_seconds)
+        change = await self._store.changes(topic, after, wait_seconds)
+        if self._simulation.rejects_answers:
+            self._check_served()
+        return change
 
     async def commit(self, checks: dict[str, int], writes: Sequence[tuple[str, bytes]]) -> Commit:
         self._check_served()
@@ -189,12 +192,15 @@
 
     :param harsh: Whether key maps are divided into several rows, hosts that lose power leave their
         links open, the store rejects some hosts, and links become silent.
+    :cvar rejects_answers: Whether the store rejects a host also in its answers to earlier calls.
     :ivar rejected_hosts: Names of hosts that the store rejects.
     :ivar silent_links: Addresses of hosts whose links carry nothing.
     :ivar errors: Keys that two targets held, tokens that were not above earlier ones, and keys that
         no target held long after the last fault.
     """
 
+    rejects_answers = False
+
     def __init__(
         self, cfg: HostSettings, seed: int, target_count: int = 4, *, harsh: bool = False
     ) -> None:
