Split the view of a host before it grows further

No change of behaviour; the tests of the gateway's view, links, restores and workspaces pass as before.

--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -259,14 +259,14 @@
 
     def _misses_changes(self) -> bool:
         """Return whether changes in the store may not reach this host at this moment."""
-        if self.view.followed_age <= self.cfg.bounds.live_state_age_seconds:
+        if self.view.freshness.followed_age <= self.cfg.bounds.live_state_age_seconds:
             return False
         return self.leadership.valid or self._link_client.misses_changes
 
     @property
     def _state_age(self) -> float:
         """Seconds since this host last heard of changes, from the store or from another host."""
-        return min(self.view.followed_age, self._link_client.state_age)
+        return min(self.view.freshness.followed_age, self._link_client.state_age)
 
     async def _record_own_load(self) -> None:
         """Record this host's own load while it leads, and what hosts must agree on.
@@ -296,7 +296,7 @@
         self._leader_shares.record_report(report.host)
         if (
             report.followed_age < RECENT_READ_SECONDS
-            and self.view.followed_age > self.cfg.bounds.lost_store_age_seconds
+            and self.view.freshness.followed_age > self.cfg.bounds.lost_store_age_seconds
         ):
             # The store answers another host.
             self.leadership.resign()
--- a/radishshunt/gateway/coordinator.py
+++ b/radishshunt/gateway/coordinator.py
@@ -266,7 +266,7 @@
         return (
             stated_only
             and target.entry.domain not in self._view.evacuated
-            and not self._view.store_answered_since(target.leaving_since or 0.0)
+            and self._view.freshness.store_answered_at <= (target.leaving_since or 0.0)
         )
 
     def _owner_is_current(self, key_range: KeyRange) -> bool:
--- a/radishshunt/gateway/follower.py
+++ b/radishshunt/gateway/follower.py
@@ -89,7 +89,7 @@
 
     async def _fetch(self, wait_seconds: float) -> None:
         started_at = self._view.clock.now()
-        complete_until = self._view.complete_until(self._topic)
+        complete_until = self._view.freshness.complete_until(self._topic)
         version = self._view.versions[self._topic]
         try:
             if version and not self._missed_restore(version):
@@ -107,7 +107,7 @@
         self._view.apply(change.with_rows_changed_after(complete_until))
         self._read_restores = restore_count(change.version)
         if self._read_restores == restore_count(self._view.versions[self._topic]):
-            self._view.mark_up_to_date(self._topic, read_at)
+            self._view.freshness.record_read(self._topic, read_at)
             if self._topic is Topic.OPERATOR:
                 self._view.confirmation.confirm(started_at)
 
--- a/radishshunt/gateway/key_mover.py
+++ b/radishshunt/gateway/key_mover.py
@@ -272,7 +272,7 @@
                 continue
             store_silent = (
                 self._leadership.lease_expiring
-                or self._view.seconds_since_store_answer > STORE_SILENT_SECONDS
+                or self._view.freshness.seconds_since_store_answer > STORE_SILENT_SECONDS
             )
             seconds = OUTAGE_GRANT_SECONDS if store_silent else GRANT_SECONDS
             seconds = min(seconds, self._cfg.bounds.max_grant_seconds)
--- a/radishshunt/gateway/leadership.py
+++ b/radishshunt/gateway/leadership.py
@@ -150,7 +150,9 @@
         Nothing is written to the store, which this host does not reach. Hosts that are told of the
         resigned term need not wait for the end of the lease.
         """
-        decision("lease-resigned", term=self.term, state_age=round(self._view.followed_age, 3))
+        decision(
+            "lease-resigned", term=self.term, state_age=round(self._view.freshness.followed_age, 3)
+        )
         self.resigned_term, self.term = self.term, ""
         self._valid_until = float("-inf")
         if self._renewal_scope is not None:
@@ -162,7 +164,7 @@
         return (
             bool(self.resigned_term)
             and self._view.leader.term == self.resigned_term
-            and self._view.followed_age > self._cfg.bounds.live_state_age_seconds
+            and self._view.freshness.followed_age > self._cfg.bounds.live_state_age_seconds
         )
 
     async def _renew_regularly(self) -> None:
@@ -347,7 +349,7 @@
         restores = max(map(restore_count, view.versions.values()))
         restored = self._store_restored or 0 < restore_count(view.leader.version) < restores
         if not restored:
-            if view.seconds_since_store_answer < MAX_NEWS_AGE_SECONDS:
+            if view.freshness.seconds_since_store_answer < MAX_NEWS_AGE_SECONDS:
                 return view.leader.version
             try:
                 view.apply(await self._store.changes(Topic.OWN, version, 0.0))
--- a/radishshunt/gateway/link_client.py
+++ b/radishshunt/gateway/link_client.py
@@ -144,7 +144,7 @@
     @property
     def state_age(self) -> float:
         """Seconds since the updates received so far last included all changes in the store."""
-        return self._view.linked_age
+        return self._view.freshness.linked_age
 
     async def run(self) -> None:
         """Keep a link to the leader or to a backup until cancelled."""
@@ -245,7 +245,7 @@
             report = replace(
                 report,
                 configuration=cfg.version if cfg else 0,
-                followed_age=max(0.0, self._view.followed_age),
+                followed_age=max(0.0, self._view.freshness.followed_age),
                 number=self._sent_reports.add(sent_at) if numbered or demands else 0,
                 demands=demands,
             )
@@ -352,7 +352,7 @@
         self.hosts = update.hosts
         self.backups = update.backups
         if all(self._view.versions.values()):
-            self._view.record_linked_state(
+            self._view.freshness.record_linked_state(
                 update.sent_at + clock_difference - update.followed_age,
                 update.complete_until + clock_difference,
             )
--- a/radishshunt/gateway/link_server.py
+++ b/radishshunt/gateway/link_server.py
@@ -188,7 +188,7 @@
             self.known_hosts = self.hosts
         return StateUpdate(
             leading=leading,
-            followed_age=max(0.0, self._view.followed_age),
+            followed_age=max(0.0, self._view.freshness.followed_age),
             hosts=self.known_hosts,
             changes=changes,
             moving=self._view.moving,
@@ -198,7 +198,9 @@
             target_speeds=target_speeds,
             statements=statements,
             sent_at=self._view.clock.now(),
-            complete_until=min(map(self._view.complete_until, (Topic.OPERATOR, Topic.TARGETS))),
+            complete_until=min(
+                map(self._view.freshness.complete_until, (Topic.OPERATOR, Topic.TARGETS))
+            ),
             resigned_term=self._resigned_term(),
         )
 
@@ -258,10 +260,10 @@
             return True
         if not hello.follow or not self._view.complete:
             return False
-        age = self._view.followed_age
+        age = self._view.freshness.followed_age
         if f"{self._cfg.ip}:{self._cfg.peer_port}" in self.backups:
             # A backup that has lost its source too is about to read the store.
-            age = min(age, self._view.linked_age)
+            age = min(age, self._view.freshness.linked_age)
         return age < self._cfg.bounds.max_state_age_seconds - MIN_SOURCE_SECONDS
 
     async def _serve(self, stream: trio.SocketStream) -> None:
--- a/radishshunt/gateway/view.py
+++ b/radishshunt/gateway/view.py
@@ -9,11 +9,13 @@
 import trio
 
 from radishshunt.errors import ProtocolError
+from radishshunt.gateway.disputed_rows import DisputedRows
+from radishshunt.gateway.freshness import Freshness
 from radishshunt.gateway.key_maps import KEY_MAP_PART_PREFIX, KEY_MAP_PREFIX, KeyMapRows
 from radishshunt.gateway.leader_row import LEADER_KEY, Leader, decode_leader
 from radishshunt.gateway.rows import Change, Row, Topic, restore_count
 from radishshunt.gateway.settings import Bounds
-from radishshunt.gateway.view_state import DisputedRow, Target
+from radishshunt.gateway.view_state import Target
 from radishshunt.logs import decision
 from radishshunt.policy.direct.target_statements import NEVER, TargetStatements
 from radishshunt.workspaces.confirmation import Confirmation
@@ -40,8 +42,6 @@
 RESTORED_ROW_HEARTBEATS = 4.0
 # A gap of more than this between two answers of the store delays the settlement of its rows.
 DISPUTE_GAP_SECONDS = 1.0
-# A gap of more than this between two answers of the store counts as an outage.
-STORE_OUTAGE_SECONDS = 2.5
 
 
 class View:
@@ -80,7 +80,7 @@
         # Version since which no removal has been forgotten.
         self._removals_since: dict[Topic, int] = dict.fromkeys(Topic, 0)
         # Rows of a restored store that contradict what this host knew before, by key.
-        self._disputed_rows: dict[Topic, dict[str, DisputedRow]] = {topic: {} for topic in Topic}
+        self._disputed_rows = DisputedRows(clock)
         self.rows: dict[Topic, dict[str, Row]] = {topic: {} for topic in Topic}
         self.changed = trio.Event()
         # Called with each applied change, or with ``None`` when anything but rows changed.
@@ -88,14 +88,7 @@
         self._reader = reader
         self._by_service: dict[str, list[Target]] = {}
         self._routes: dict[str, list[Route]] = {}
-        self._followed_at = dict.fromkeys(Topic, float("-inf"))
-        # Time at which a host that other hosts follow last had an answer of the store.
-        self._linked_at = float("-inf")
-        # Time up to which all changes of a topic are known, by reads and by updates of other hosts.
-        self._read_until = dict.fromkeys(Topic, float("-inf"))
-        self._linked_until = float("-inf")
-        self._outage_ended_at = float("-inf")
-        self._store_answered_at = clock.now()
+        self.freshness = Freshness(clock)
         self.confirmation = Confirmation()
         self.statements = TargetStatements()
 
@@ -123,60 +116,9 @@
 
         :param age: Seconds since the answer.
         """
-        answered_at = self.clock.now() - age
-        gap = answered_at - self._store_answered_at
+        gap = self.freshness.record_store_answer(age)
         if gap > DISPUTE_GAP_SECONDS:
-            # Nobody could write while the store was away.
-            for disputed_rows in self._disputed_rows.values():
-                for disputed in disputed_rows.values():
-                    disputed.deadline += gap - DISPUTE_GAP_SECONDS
-        if answered_at - self._store_answered_at > STORE_OUTAGE_SECONDS:
-            self._outage_ended_at = self.clock.now()
-        self._store_answered_at = max(self._store_answered_at, answered_at)
-
-    def store_answered_since(self, time: float) -> bool:
-        """Return whether the store has answered, directly or through another host, since a time."""
-        return self._store_answered_at > time
-
-    @property
-    def seconds_since_store_answer(self) -> float:
-        """Seconds since the last answer of the store, direct or through another host."""
-        return self.clock.now() - self._store_answered_at
-
-    def mark_up_to_date(self, topic: Topic, read_at: float) -> None:
-        """Record that this host has read all changes of a topic from the store.
-
-        :param read_at: Time on the host's clock at which the store read them.
-        """
-        self._followed_at[topic] = self.clock.now()
-        self._read_until[topic] = max(self._read_until[topic], read_at)
-
-    def record_linked_state(self, followed_at: float, complete_until: float) -> None:
-        """Record that another host has told this one all changes by operators and targets.
-
-        :param followed_at: Time on this host's clock at which the other one last had all changes.
-        :param complete_until: Time on this host's clock at which the store had no others.
-        """
-        self._linked_at = max(self._linked_at, followed_at)
-        self._linked_until = max(self._linked_until, complete_until)
-
-    def complete_until(self, topic: Topic) -> float:
-        """Return the time on the host's clock up to which it knows all changes of a topic.
-
-        Unlike the ages below, this excludes the time that an answer of the store takes.
-        """
-        return max(self._read_until[topic], self._linked_until)
-
-    @property
-    def linked_age(self) -> float:
-        """Seconds since the host that this one follows last had all changes in the store."""
-        return self.clock.now() - self._linked_at
-
-    @property
-    def followed_age(self) -> float:
-        """Seconds since this host last had all changes by operators and targets."""
-        oldest = min(self._followed_at[Topic.OPERATOR], self._followed_at[Topic.TARGETS])
-        return self.clock.now() - oldest
+            self._disputed_rows.delay(gap - DISPUTE_GAP_SECONDS)
 
     def apply(self, change: Change) -> None:
         """Apply changed rows; versions of a row that are not newer are ignored.
@@ -222,7 +164,7 @@
             if restore_count(change.version) > restore_count(row.version):
                 missing_target = change.topic is Topic.TARGETS
                 seconds = REREGISTRATION_SECONDS if missing_target else self._restored_row_seconds
-                self._dispute(change.topic, key, None, change.version, seconds)
+                self._disputed_rows.add(change.topic, key, None, change.version, seconds)
             else:
                 removed.append(Row(key, change.version, None))
         return tuple(removed)
@@ -235,32 +177,17 @@
         if known_version >= row.version:
             # Also an older row than one that was removed, from a source that lags behind.
             return False
-        disputed = self._disputed_rows[topic]
         if (
             row.value is not None
             and known_version
             and restore_count(known_version) < restore_count(row.version)
             and self._contradicts_newer_knowledge(topic, row)
         ):
-            self._dispute(topic, row.key, row, row.version, self._restored_row_seconds)
+            self._disputed_rows.add(topic, row.key, row, row.version, self._restored_row_seconds)
             return False
-        disputed.pop(row.key, None)
+        self._disputed_rows.discard(topic, row.key)
         return self._apply_newer(topic, row)
 
-    def _dispute(
-        self, topic: Topic, key: str, row: Row | None, version: int, seconds: float
-    ) -> None:
-        """Record a row of a restored store that is not applied yet.
-
-        :param version: Version of the store, which tells the restore.
-        :param seconds: Time in which the row can be written again.
-        """
-        known = self._disputed_rows[topic].get(key)
-        deadline = self.clock.now() + seconds
-        if known is not None and known.restores == restore_count(version):
-            deadline = known.deadline
-        self._disputed_rows[topic][key] = DisputedRow(row, restore_count(version), deadline)
-
     def _apply_newer(self, topic: Topic, row: Row) -> bool:
         """Apply a row that is newer than the known one, and return whether it was recorded."""
         known_rows, removals = self.rows[topic], self._removals[topic]
@@ -293,21 +220,16 @@
 
     def settle_disputed_rows(self) -> None:
         """Apply rows of a restored store that nobody has written again in time."""
-        for topic, disputed_rows in self._disputed_rows.items():
-            for key, disputed in list(disputed_rows.items()):
-                if self._store_answered_at < disputed.deadline:
-                    continue
-                del disputed_rows[key]
-                version = self.versions[topic]
-                row = disputed.row
-                if row is None:
-                    row = Row(key, version, None)
-                else:
-                    # Hosts may have been told that the row was removed.
-                    row = replace(row, version=max(version, row.version + 2))
-                decision("row-settled", topic=topic.value, key=key, exists=disputed.row is not None)
-                if self._apply_newer(topic, row):
-                    self._notify(Change(topic, (row,), 0, whole=False))
+        for topic, key, row in self._disputed_rows.take_due(self.freshness.store_answered_at):
+            version = self.versions[topic]
+            decision("row-settled", topic=topic.value, key=key, exists=row is not None)
+            if row is None:
+                settled = Row(key, version, None)
+            else:
+                # Hosts may have been told that the row was removed.
+                settled = replace(row, version=max(version, row.version + 2))
+            if self._apply_newer(topic, settled):
+                self._notify(Change(topic, (settled,), 0, whole=False))
 
     def changes_since(self, versions: Mapping[Topic, int]) -> tuple[Change, ...]:
         """Return what a host lacks that has all rows up to the given versions.
@@ -331,9 +253,7 @@
             )
             # A host that has started since a restore of the store knows only the copy.
             rows += tuple(
-                Row(key, disputed.row.version + 1, None)
-                for key, disputed in self._disputed_rows[topic].items()
-                if disputed.row is not None
+                Row(row.key, row.version + 1, None) for row in self._disputed_rows.rows(topic)
             )
             if topic is not Topic.OWN and restore_count(known) == restore_count(version):
                 rows += tuple(
@@ -435,7 +355,9 @@
         if target.leaving_since is not None:
             used_until = target.leaving_since + self._bounds.leaving_use_seconds
             if target.gone and target.expired_in_outage:
-                return now < min(self._outage_ended_at + REREGISTRATION_SECONDS, used_until)
+                return now < min(
+                    self.freshness.outage_ended_at + REREGISTRATION_SECONDS, used_until
+                )
             return owner and not target.gone and now < used_until
         evacuated_until = self.evacuated.get(target.entry.domain)
         return evacuated_until is None or (owner and now < evacuated_until)
@@ -538,7 +460,9 @@
             if target is not None and not target.gone:
                 now = self.clock.now()
                 target.gone = True
-                target.expired_in_outage = now - self._outage_ended_at < REREGISTRATION_SECONDS
+                target.expired_in_outage = (
+                    now - self.freshness.outage_ended_at < REREGISTRATION_SECONDS
+                )
                 if target.leaving_since is None:
                     expired = target.expired_in_outage
                     target.leaving_since = now if expired else self._changed_after(topic, row)
@@ -551,7 +475,7 @@
         """
         if row.changed_after > float("-inf"):
             return row.changed_after
-        return self.complete_until(topic)
+        return self.freshness.complete_until(topic)
 
     def _index_services(self) -> None:
         by_service: dict[str, list[Target]] = {}
--- a/radishshunt/gateway/view_state.py
+++ b/radishshunt/gateway/view_state.py
@@ -1,4 +1,4 @@
-"""State that a view keeps of targets and of rows that contradict newer knowledge."""
+"""State that a view keeps of targets."""
 
 from __future__ import annotations
 
@@ -9,7 +9,6 @@
 
 if TYPE_CHECKING:
     from radishshunt.gateway.model import TargetEntry
-    from radishshunt.gateway.rows import Row
     from radishshunt.policy.direct.target_statements import StatedState
 
 
@@ -40,17 +39,3 @@
                 since if self.leaving_since is None else min(self.leaving_since, since)
             )
         self.cold_until = max(self.cold_until, stated.cold_until)
-
-
-@dataclass(slots=True)
-class DisputedRow:
-    """A row of a restored store that contradicts what this host knew before the restore.
-
-    :param row: The row, ``None`` if the store lacks it.
-    :param restores: Number of restores of the store.
-    :param deadline: Time from which the row counts if nobody has written it again.
-    """
-
-    row: Row | None
-    restores: int
-    deadline: float
--- a/tests/test_gateway/test_gateway_links.py
+++ b/tests/test_gateway/test_gateway_links.py
@@ -52,7 +52,7 @@
     view = View(CatalogReader(), TrioClock())
     for topic in Topic:
         view.apply(Change(topic, (), 1, whole=True))
-        view.mark_up_to_date(topic, view.clock.now())
+        view.freshness.record_read(topic, view.clock.now())
     return view
 
 
@@ -151,7 +151,7 @@
     sent_at = view.clock.now()
     await trio.sleep(0.5)
     link.apply_update(late)
-    assert view.complete_until(Topic.TARGETS) == pytest.approx(sent_at)
+    assert view.freshness.complete_until(Topic.TARGETS) == pytest.approx(sent_at)
     assert link.state_age == pytest.approx(0.5)
 
 
@@ -159,11 +159,11 @@
     # Guards against updates that seem recent because of the other topics while the read of one
     # topic hangs.
     await trio.sleep(1.0)
-    view.mark_up_to_date(Topic.TARGETS, view.clock.now())
-    view.mark_up_to_date(Topic.OWN, view.clock.now())
-    assert view.followed_age == pytest.approx(1.0)
-    view.mark_up_to_date(Topic.OPERATOR, view.clock.now())
-    assert view.followed_age == pytest.approx(0.0)
+    view.freshness.record_read(Topic.TARGETS, view.clock.now())
+    view.freshness.record_read(Topic.OWN, view.clock.now())
+    assert view.freshness.followed_age == pytest.approx(1.0)
+    view.freshness.record_read(Topic.OPERATOR, view.clock.now())
+    assert view.freshness.followed_age == pytest.approx(0.0)
 
 
 async def test_first_link_of_a_new_leader_gets_no_difference_to_an_older_row(
--- a/tests/test_gateway/test_gateway_resignation.py
+++ b/tests/test_gateway/test_gateway_resignation.py
@@ -98,8 +98,8 @@
     other_view.record_resignation(leader.term)
     async with trio.open_nursery() as nursery:
         leader.resign()
-        view.mark_up_to_date(Topic.OPERATOR, view.clock.now())
-        view.mark_up_to_date(Topic.TARGETS, view.clock.now())
+        view.freshness.record_read(Topic.OPERATOR, view.clock.now())
+        view.freshness.record_read(Topic.TARGETS, view.clock.now())
         await leader.wait_for_term()
         nursery.start_soon(leader.keep_renewing)
         other_view.apply(await store.read(Topic.OWN))
--- a/tests/test_gateway/test_gateway_view.py
+++ b/tests/test_gateway/test_gateway_view.py
@@ -80,7 +80,7 @@
 ) -> None:
     """Guards against a time of use that starts when the host hears of a change, seconds late."""
     apply_row(view, Topic.TARGETS, "i-1", entry_value(), 1)
-    view.mark_up_to_date(Topic.TARGETS, view.clock.now())
+    view.freshness.record_read(Topic.TARGETS, view.clock.now())
     await trio.sleep(1.4)
     view.apply(Change(Topic.TARGETS, (Row("i-1", 2, value),), 2, whole=False))
     target = view.targets["i-1"]
@@ -97,7 +97,7 @@
     apply_row(view, Topic.TARGETS, "i-1", entry_value(), 1)
     left_at = view.clock.now()
     await trio.sleep(0.6)
-    view.mark_up_to_date(Topic.TARGETS, view.clock.now())
+    view.freshness.record_read(Topic.TARGETS, view.clock.now())
     row = Row("i-1", 2, entry_value(State="draining"), changed_after=left_at)
     view.apply(Change(Topic.TARGETS, (row,), 2, whole=False))
     assert view.may_use(view.targets["i-1"], owner=True)
