Let no leader resign before it has had time to read the store

Cause: a host that did not read the store before it acquired the lease has a state of any age, and the first report of a backup that did read would have ended its term at once.

Change: the age counts from the acquisition at the latest. Updates of earlier builds, which state no time, count as sent when they are read; a time of a row that lies ahead counts as now. Changed bounds reach the lease and links.

Tests: test_new_leader_does_not_resign_before_it_has_read_the_store.

--- a/radishshunt/gateway/app.py
+++ b/radishshunt/gateway/app.py
@@ -209,6 +209,8 @@
         self.view.update_bounds(self.cfg.bounds)
         self.sender.update_settings(self.cfg)
         self._link_client.update_settings(self.cfg)
+        self._link_server.update_settings(self.cfg)
+        self.leadership.update_settings(self.cfg)
         self.coordinator.update_settings(self.cfg)
 
     async def stop(self) -> None:
@@ -294,10 +296,7 @@
         """Take the report of another host while this one leads."""
         self.load_statistics.add_report(report)
         self._leader_shares.record_report(report.host)
-        if (
-            report.followed_age < RECENT_READ_SECONDS
-            and self.view.freshness.followed_age > self.cfg.bounds.lost_store_age_seconds
-        ):
+        if report.followed_age < RECENT_READ_SECONDS and self.leadership.has_lost_store:
             # The store answers another host.
             self.leadership.resign()
             self._link_server.announce_resignation()
--- a/radishshunt/gateway/leadership.py
+++ b/radishshunt/gateway/leadership.py
@@ -91,6 +91,8 @@
         self._valid_until = float("-inf")
         # Time at which the last successful acquisition or renewal was sent.
         self._renewed_at = float("-inf")
+        # Time at which the acquisition of the present term was sent.
+        self._acquired_at = float("-inf")
         self._version = 0
         # Whether the row of the leader has to be read again after a restore. The grants that this
         # host has recorded are then known to be the latest ones only within LEASE_SECONDS.
@@ -102,6 +104,10 @@
         self._renewal_scope: trio.CancelScope | None = None
         self._stopping = False
 
+    def update_settings(self, cfg: HostSettings) -> None:
+        """Apply changed bounds."""
+        self._cfg = cfg
+
     @property
     def valid(self) -> bool:
         """Whether this host is the leader now."""
@@ -144,6 +150,14 @@
         decision("lease-lost", term=self.term or self.resigned_term)
         self.term = ""
 
+    @property
+    def has_lost_store(self) -> bool:
+        """Whether the store has not answered this leader for longer than a slow one would take."""
+        answered_age = min(
+            self._view.freshness.followed_age, self._view.clock.now() - self._acquired_at
+        )
+        return self.valid and answered_age > self._cfg.bounds.lost_store_age_seconds
+
     def resign(self) -> None:
         """End the term before the lease, as other hosts can lead and this one cannot.
 
@@ -330,7 +344,7 @@
         self._version = version
         self._rows_read = False
         self.apply_written_rows((Row(LEADER_KEY, version, value),))
-        self._renewed_at = sent_at
+        self._renewed_at = self._acquired_at = sent_at
         self._valid_until = sent_at + LEASE_SECONDS - LEASE_MARGIN_SECONDS
         decision(
             "lease",
--- a/radishshunt/gateway/link_client.py
+++ b/radishshunt/gateway/link_client.py
@@ -315,7 +315,10 @@
 
         :return: Seconds by which this host's clock is ahead of the sender's.
         """
-        sent_at = self._remote_clock.local_time(update.sent_at, self._view.clock.now())
+        sent_at = now = self._view.clock.now()
+        if update.sent_at:
+            # Earlier builds do not state it.
+            sent_at = self._remote_clock.local_time(update.sent_at, now)
         clock_difference = sent_at - update.sent_at
         for change in update.changes:
             decoded = decode_deltas(change, self._view.rows[change.topic])
--- a/radishshunt/gateway/link_server.py
+++ b/radishshunt/gateway/link_server.py
@@ -122,6 +122,10 @@
         self._full_state_cache = (float("-inf"), 0, b"")
         view.listeners.append(self._queue_change)
 
+    def update_settings(self, cfg: HostSettings) -> None:
+        """Apply changed bounds."""
+        self._cfg = cfg
+
     @property
     def hosts(self) -> int:
         """Number of connected hosts, including this one."""
--- a/radishshunt/gateway/messages.py
+++ b/radishshunt/gateway/messages.py
@@ -354,6 +354,8 @@
 
 
 def _decode_update(news: capnp.lib.capnp._DynamicStructReader) -> StateUpdate:
+    if not math.isfinite(news.sentAt):
+        raise ValueError("update without a valid time")
     moving: dict[str, list[tuple[int, int]]] = {}
     for item in news.moving:
         moving.setdefault(item.service, []).append((item.first, item.last))
--- a/radishshunt/gateway/view.py
+++ b/radishshunt/gateway/view.py
@@ -474,7 +474,7 @@
         A source that did not see the change itself states none; this host knew all earlier ones.
         """
         if row.changed_after > float("-inf"):
-            return row.changed_after
+            return min(self.clock.now(), row.changed_after)
         return self.freshness.complete_until(topic)
 
     def _index_services(self) -> None:
--- a/tests/test_gateway/test_gateway_links.py
+++ b/tests/test_gateway/test_gateway_links.py
@@ -70,8 +70,7 @@
     deadline = trio.current_time() + seconds
     while trio.current_time() < deadline:
         age = trio.current_time() - store_responded_at
-        now = link._view.clock.now()
-        link.apply_update(StateUpdate(leading=True, followed_age=age, hosts=2, sent_at=now))
+        link.apply_update(StateUpdate(leading=True, followed_age=age, hosts=2))
         await trio.sleep(UPDATE_INTERVAL_SECONDS)
 
 
--- a/tests/test_gateway/test_gateway_resignation.py
+++ b/tests/test_gateway/test_gateway_resignation.py
@@ -108,3 +108,19 @@
             await other.wait_for_term()
         assert not other.valid
         nursery.cancel_scope.cancel()
+
+
+async def test_new_leader_does_not_resign_before_it_has_read_the_store(
+    autojump_clock: object, view: View, store: MemoryStore, cfg: HostSettings
+) -> None:
+    """Guards against leaders that give way to each other, as only some hosts read the store."""
+    view.apply(await store.read(Topic.OWN))
+    leadership = Leadership(cfg, view, store)
+    await leadership.wait_for_term()
+    assert view.freshness.followed_age == float("inf")
+    assert not leadership.has_lost_store
+    await trio.sleep(cfg.bounds.lost_store_age_seconds + 0.1)
+    assert leadership.has_lost_store
+    for topic in Topic:
+        view.freshness.record_read(topic, view.clock.now())
+    assert not leadership.has_lost_store
