--- a/radishshunt/gateway/leadership.py
+++ b/radishshunt/gateway/leadership.py
@@ -132,7 +132,7 @@
                 except (PlatformUnavailable, PlatformOutcomeUnknown, ProtocolError) as exc:
                     logger.info("acquiring the lease failed: %s", exc)
             with trio.move_on_after(self._seconds_until_check(delay)):
-                await self._view.resigned.wait()
+                await self._view.resignation_recorded.wait()
 
     def _seconds_until_check(self, delay: float) -> float:
         """Return the seconds until this host checks again whether it may acquire the lease.
--- a/radishshunt/gateway/sender.py
+++ b/radishshunt/gateway/sender.py
@@ -347,7 +347,7 @@
             return await attempt.state.pool.exchange(
                 target_request,
                 repeatable=repeatable,
-                on_send=partial(self._mark_sent, attempt),
+                on_send=partial(self._begin_sending, attempt),
                 used=attempt.attempts.connections,
             )
         finally:
@@ -355,7 +355,7 @@
             if attempt.sent:
                 self.chooser.response_costs.on_sent(attempt.req, route, attempt.target.entry)
 
-    def _mark_sent(self, attempt: _Attempt) -> None:
+    def _begin_sending(self, attempt: _Attempt) -> None:
         """Record that the target of an attempt may run the request from now on.
 
         A new connection takes time, in which the target may have left.
--- a/radishshunt/gateway/time_budgets.py
+++ b/radishshunt/gateway/time_budgets.py
@@ -58,6 +58,7 @@
 
 def time_budgets(bounds: Bounds) -> tuple[TimeBudget, ...]:
     """Return the budgets of all times that the operators limit, and of a change of the leader."""
+    # A host to which neither the leader nor a backup passes changes on reads the store itself.
     news = {
         "state counts as old": bounds.max_state_age_seconds,
         "check whether to read the store": NEED_CHECK_SECONDS,
--- a/radishshunt/gateway/view.py
+++ b/radishshunt/gateway/view.py
@@ -70,8 +70,8 @@
         self.leader = Leader()
         # Term that its leader has ended before its lease; never that of an unknown leader.
         self.resigned_term: str | None = None
-        # Set when that is recorded, then replaced by a new event.
-        self.resigned = trio.Event()
+        # Set when such a term is recorded, then replaced by a new event.
+        self.resignation_recorded = trio.Event()
         self.leader_row_seen_at = clock.now()
         self.versions: dict[Topic, int] = dict.fromkeys(Topic, 0)
         self.first_versions: dict[Topic, int] = dict.fromkeys(Topic, 0)
@@ -316,8 +316,8 @@
         if term and term != self.resigned_term:
             self.resigned_term = term
             decision("leader-resigned", leader=self.leader.host, term=term)
-            self.resigned.set()
-            self.resigned = trio.Event()
+            self.resignation_recorded.set()
+            self.resignation_recorded = trio.Event()
 
     def set_moving(self, moving: dict[str, list[tuple[int, int]]]) -> None:
         """Set the ranges of keys that the leader is moving, by service."""
