--- a/radishshunt/platform/store.py
+++ b/radishshunt/platform/store.py
@@ -142,7 +142,7 @@
             if not version:
                 version, time_ms = self._version(doc.RowVersion), doc.TimeMs
             if not doc.HasMore or not page:
-                return Change(topic, tuple(rows.values()), version, True, time_ms)
+                return Change(topic, tuple(rows.values()), version, whole=True, time_ms=time_ms)
             start_key = page[-1].key + "\0"
 
     async def changes(self, topic: Topic, after: int, wait_seconds: float) -> Change:
@@ -159,7 +159,7 @@
             raise HistoryLost
         version = max(after, self._version(doc.RowVersion))
         rows = self._decode_rows(topic, doc.Rows)
-        return Change(topic, tuple(rows), version, False, doc.TimeMs)
+        return Change(topic, tuple(rows), version, whole=False, time_ms=doc.TimeMs)
 
     async def commit(self, checks: dict[str, int], writes: Sequence[tuple[str, bytes]]) -> Commit:
         if not self._restores_known:
