--- a/radishshunt/gateway/leadership.py
+++ b/radishshunt/gateway/leadership.py
@@ -144,10 +144,11 @@
 
     async def keep_renewing(self) -> None:
         """Renew the lease until it is lost, released or resigned."""
+        term = self.term
         with trio.CancelScope() as self._renewal_scope:
             await self._renew_regularly()
         self._renewal_scope = None
-        decision("lease-lost", term=self.term or self.resigned_term)
+        decision("lease-lost", term=term)
         self.term = ""
 
     @property
