Review cases 11 and 12: keep to the link, record runs, exit with 2 on errors

Cause: the loopback could carry more than LinkMbps, the record did not tell what ran, and an error of a script looked like a broken rule.

--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -13,6 +13,7 @@
 
 from stand_ins_3.client import Clients
 from stand_ins_3.keyed_worker import KeyedWorker
+from stand_ins_3.link import Link
 from stand_ins_3.machine import PORTS, Machine
 from stand_ins_3.record import Exchange, Record
 from stand_ins_3.store import Store
@@ -37,7 +38,8 @@
     :param workers: Number of workers.
     :param body_bytes: Size of the body of a large answer.
     :param timeout_ms: ``TimeoutMs`` of the route.
-    :param keyed: Whether the service is divided by key; its requests may run once then.
+    :param keyed: Whether the service is divided by key; its requests may run once then,
+        and one of its workers is in a zone of its own.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         memory_bytes: int = 300_000_000,
         work_seconds: float = 0.05,
         keyed: bool = False,
+        link_bits_per_second: float = 1e9,
     ) -> None:
         self.record = Record()
         self._port = _free_ports()
@@ -65,13 +68,22 @@
                 self._port,
                 f"{store_ip(number)}:{self._port}",
                 memory_bytes,
+                "zone-b" if keyed and number % 2 else "zone-a",
             )
             for number in range(1, machines + 1)
         ]
         self.clients = {machine.name: Clients(self.record, machine) for machine in self.machines}
+        self.links = {machine.name: Link(link_bits_per_second) for machine in self.machines}
         self.workers = [
             (KeyedWorker if keyed else Worker)(
-                self.record, f"i-{number}", "exports", 3, work_seconds, body_bytes
+                self.record,
+                f"i-{number}",
+                "exports",
+                3,
+                work_seconds,
+                body_bytes,
+                self.links,
+                "zone-b" if keyed and number == 0 else "zone-a",
             )
             for number in range(workers)
         ]
@@ -158,7 +170,7 @@
     with tempfile.TemporaryDirectory(prefix="review-") as temporary:
         try:
             result, record = asyncio.run(case(Path(temporary)))
-        except (TimeoutError, OSError, KeyboardInterrupt) as exc:
+        except (Exception, KeyboardInterrupt) as exc:
             record_path.write_text(f"the case could not run: {exc!r}\n")
             sys.exit(NOT_RUN)
     record.write(record_path)
--- a/review/stand_ins_3/machine.py
+++ b/review/stand_ins_3/machine.py
@@ -63,6 +63,7 @@
         port: int,
         store: str,
         memory_bytes: int,
+        zone: str = "zone-a",
     ) -> None:
         self.name = f"edge-{number}"
         self.ip = f"127.0.9.{number}"
@@ -73,6 +74,7 @@
         self._file = folder / f"{self.name}.conf"
         self._log_path = folder / f"{self.name}.log"
         self._store = store
+        self._zone = zone
         self._memory_bytes = memory_bytes
         self._process: subprocess.Popen[bytes] | None = None
         self._log: IO[bytes] | None = None
@@ -154,7 +156,7 @@
             "Self.MachineClass": "edge",
             "Self.Serves": "edge,control",
             "Self.Ip": self.ip,
-            "Self.Zone": "zone-a",
+            "Self.Zone": self._zone,
             "Self.Region": "region-a",
             "Self.InFaultBudget": "false",
             "Self.Bootstrap": "true" if first else "false",
@@ -170,6 +172,7 @@
             "Network.PortRange": f"{peers},{port + PORTS - 1}",
             "Network.Seeds": f"127.0.9.1:{port + CONTROL_PORT_OFFSET}",
             "Network.Zones.zone-a": "region-a",
+            "Network.Zones.zone-b": "region-a",
             "Platform.Discovery": "platform",
             "Platform.EntryKind": "vip",
             "Platform.HeartbeatMs": "1500",
--- a/review/stand_ins_3/record.py
+++ b/review/stand_ins_3/record.py
@@ -17,6 +17,8 @@
     :ivar kept: Whether its connection had carried an answered request before.
     :ivar arrived: Whether a worker has received it, and not refused it.
     :ivar arrived_at: Time of that.
+    :ivar worker: The worker that received it last.
+    :ivar runs: Workers that began to run it, and when.
     :ivar received: Bytes of the answer's body that the client has read.
     :ivar outcome: ``200`` and the like, ``cut``, ``deadline`` or ``no connection``.
     """
@@ -27,6 +29,8 @@
     kept: bool
     arrived: bool = False
     arrived_at: float = 0.0
+    worker: str = ""
+    runs: list[tuple[str, float]] = field(default_factory=list)
     received: int = 0
     outcome: str = ""
     ended_at: float = 0.0
@@ -55,6 +59,7 @@
             f"{item.sent_at:8.3f} s  {item.id} sent to {item.machine}"
             f" on a {'kept' if item.kept else 'new'} connection;"
             f" {f'{item.arrived_at:8.3f} s: reached' if item.arrived else 'reached no'} worker;"
+            f" {', '.join(f'{at:.3f} s: run by {name}' for name, at in item.runs) or 'not run'};"
             f" {item.ended_at:8.3f} s: {item.outcome}, {item.received} bytes of the body"
             for item in self.exchanges.values()
         ]
--- a/review/stand_ins_3/worker.py
+++ b/review/stand_ins_3/worker.py
@@ -10,6 +10,7 @@
 from stand_ins_3.http import encode_response, read_body, read_head
 
 if TYPE_CHECKING:
+    from stand_ins_3.link import Link
     from stand_ins_3.record import Record
 
 QUEUE_LENGTH = 12
@@ -32,6 +33,8 @@
         slots: int,
         work_seconds: float,
         body_bytes: int,
+        links: dict[str, Link],
+        zone: str = "zone-a",
     ) -> None:
         self.id = id
         self._record = record
@@ -39,6 +42,8 @@
         self._slots = slots
         self._work_seconds = work_seconds
         self._body_bytes = body_bytes
+        self._links = links
+        self._zone = zone
         self._running = asyncio.Semaphore(slots)
         self._at_work = 0
         self._waiting = 0
@@ -71,7 +76,7 @@
             "Addr": self._address,
             "Info": {
                 "Service": self._service,
-                "Zone": "zone-a",
+                "Zone": self._zone,
                 "Version": "v1",
                 "Capacity": self._slots,
             },
@@ -125,16 +130,21 @@
         if id in self._record.exchanges:
             self._record.exchanges[id].arrived = True
             self._record.exchanges[id].arrived_at = self._record.now()
+            self._record.exchanges[id].worker = self.id
         self._waiting += 1
         await self._running.acquire()
         self._waiting -= 1
         self._at_work += 1
+        if id in self._record.exchanges:
+            self._record.exchanges[id].runs.append((self.id, self._record.now()))
         try:
             await asyncio.sleep(self._work_seconds)
         finally:
             self._at_work -= 1
             self._running.release()
         size = self._body_bytes if target.startswith("/large/") else 100
+        if id in self._record.exchanges:
+            await self._links[self._record.exchanges[id].machine].carry(size)
         answer["X-Radishshunt-Server-Load"] = self._load()
         answer["X-Radishshunt-Server-Signature"] = f"{self.id}.{id}"
         return encode_response(200, answer, b"x" * size)
