End all processes of a review case also after an interrupt

Cause: an interrupt reached the machines' processes as well, and a second one cut their end short: four were seen for some seconds after the case. Change: the processes have a session of their own; interrupts are ignored while they are ended.

--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import signal
 import socket
 import sys
 import tempfile
@@ -114,7 +115,8 @@
         return worker
 
     def close(self) -> None:
-        """End all processes."""
+        """End all processes; a second signal does not interrupt it."""
+        signal.signal(signal.SIGINT, signal.SIG_IGN)
         for clients in self.clients.values():
             clients.close()
         for machine in self.machines:
--- a/review/stand_ins_3/machine.py
+++ b/review/stand_ins_3/machine.py
@@ -99,6 +99,8 @@
             stdin=subprocess.DEVNULL,
             stdout=self._log,
             stderr=self._log,
+            # A signal to the case must not reach it too.
+            start_new_session=True,
         )
         self._started_at = self._record.now()
         self._record.note(f"{self.name} started")
